--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Two commands for people: make demo, make test. Each installs what it needs
+# into .venv first.
+
+PYTHON ?= python3.11
+BIN := .venv/bin
+PACKAGES := packages/apricotlanding packages/apricotlandingd \
+	packages/apricotctl packages/apricotstandins
+
+.PHONY: demo test check format clean
+
+.venv/installed: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.lock
+	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
+		$(addprefix -e ,$(PACKAGES))
+	touch $@
+
+demo: .venv/installed
+	$(BIN)/python demo/demo.py
+
+test: .venv/installed
+	$(BIN)/python -m pytest
+
+check: .venv/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 packages demo tests
+	$(BIN)/mypy
+
+format: .venv/installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/apricotctl/src/apricotctl/client.py
@@ -0,0 +1,59 @@
+"""Calls to a daemon's operator listener."""
+
+import json
+import typing as ty
+
+import anyio
+import click
+
+from apricotlanding import addresses
+from apricotlanding import webclient
+
+__all__ = ['call_daemon']
+
+_TIMEOUT = 20.0
+
+
+def call_daemon(
+    address: str, token: str, method: str, path: str, body: bytes = b''
+) -> ty.Any:
+    """Return a daemon's JSON answer.
+
+    Raises click.ClickException with code and remedy for anything else.
+    """
+    try:
+        parsed = addresses.parse_address(address)
+    except ValueError as error:
+        raise click.ClickException(f'--daemon {address}: {error}') from error
+    return anyio.run(_call, parsed, token, method, path, body)
+
+
+async def _call(
+    address: addresses.Address,
+    token: str,
+    method: str,
+    path: str,
+    body: bytes,
+) -> ty.Any:
+    client = webclient.WebClient(address)
+    headers = [(b'authorization', b'Bearer ' + token.encode())]
+    try:
+        status, data = await client.call(method, path, headers, body, _TIMEOUT)
+        value = json.loads(data)
+    except webclient.NotSent as error:
+        raise click.ClickException(
+            f'no daemon answers at {address}; start it or name another one'
+            ' with --daemon'
+        ) from error
+    except (webclient.WebError, ValueError) as error:
+        raise click.ClickException(
+            f'the daemon at {address} broke off: {error}; find out with'
+            ' "apricotctl status" what it did before you try again'
+        ) from error
+    finally:
+        await client.close()
+    if status != 200:
+        raise click.ClickException(
+            f'{value["code"]}: {value["error"]}; {value["remedy"]}'
+        )
+    return value
--- /dev/null
+++ b/packages/apricotctl/src/apricotctl/command.py
@@ -0,0 +1,196 @@
+"""The command ``apricotctl``."""
+
+import dataclasses
+import json
+import pathlib
+import typing as ty
+import urllib.parse
+
+import click
+
+from apricotctl import bundlefiles
+from apricotctl import client
+from apricotlanding import signatures
+from apricotlanding import submissions
+
+__all__ = ['main']
+
+_FILE = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The daemon to talk to."""
+
+    address: str
+    token: str
+
+    def call(self, method: str, path: str, body: bytes = b'') -> ty.Any:
+        """Return the daemon's answer."""
+        return client.call_daemon(self.address, self.token, method, path, body)
+
+
+@click.group()
+@click.option(
+    '--daemon',
+    envvar='APRICOT_DAEMON',
+    default='127.0.0.1:7002',
+    show_default=True,
+    help='Operator address of any daemon, IP:PORT.',
+)
+@click.option(
+    '--token',
+    envvar='APRICOT_OPERATOR_TOKEN',
+    default='',
+    help='Operator token; better given in APRICOT_OPERATOR_TOKEN.',
+)
+@click.pass_context
+def main(context: click.Context, daemon: str, token: str) -> None:
+    """Operate apricotlanding: bundles, status, drains, requests."""
+    context.obj = Target(daemon, token)
+
+
+@main.command()
+@click.argument('path', type=click.Path(path_type=pathlib.Path))
+def keygen(path: pathlib.Path) -> None:
+    """Make a signing key in PATH and print its public half."""
+    if path.exists():
+        raise click.ClickException(f'{path} exists; name a new file')
+    pem = signatures.make_private_key()
+    path.touch(mode=0o600)
+    path.write_bytes(pem)
+    click.echo(signatures.write_public_key(pem))
+
+
+@main.group()
+def bundle() -> None:
+    """Check, sign, submit and compare configuration bundles."""
+
+
+@bundle.command()
+@click.argument('path', type=_FILE)
+def check(path: pathlib.Path) -> None:
+    """Name every mistake in PATH, with its line and the remedy."""
+    found = bundlefiles.check_file(path)
+    click.echo(f'{path}: good, version {found.version}')
+
+
+@bundle.command()
+@click.argument('path', type=_FILE)
+@click.option('--author', required=True, help='Who wrote the change.')
+@click.option('--approver', required=True, help='Who approves it.')
+@click.option(
+    '--as',
+    'role',
+    required=True,
+    type=click.Choice(['author', 'approver']),
+    help='Whose signature this is.',
+)
+@click.option('--key', required=True, type=_FILE, help='Private key.')
+def sign(
+    path: pathlib.Path,
+    author: str,
+    approver: str,
+    role: str,
+    key: pathlib.Path,
+) -> None:
+    """Add your signature to PATH.signed."""
+    signed = bundlefiles.sign_file(
+        path, author, approver, role == 'author', key.read_bytes()
+    )
+    click.echo(f'{signed}: signed as {role}')
+
+
+@bundle.command()
+@click.argument('path', type=_FILE)
+@click.pass_obj
+def submit(target: Target, path: pathlib.Path) -> None:
+    """Submit PATH (a .signed file) and say what the log decided."""
+    record = bundlefiles.read_signed(path)
+    reply = target.call(
+        'POST', '/v1/bundle', submissions.write_submission(record)
+    )
+    state = 'in force' if reply['in_force'] else 'accepted and replaced since'
+    click.echo(f'version {reply["version"]}: {state}')
+
+
+@bundle.command(name='status')
+@click.pass_obj
+def show_bundle(target: Target) -> None:
+    """Show the version in force, its author and its approver."""
+    reply = target.call('GET', '/v1/bundle')
+    click.echo(
+        f'version {reply["version"]} on base {reply["base"]},'
+        f' by {reply["author"]}, approved by {reply["approver"]}'
+    )
+
+
+@bundle.command()
+@click.argument('path', type=_FILE)
+@click.pass_obj
+def diff(target: Target, path: pathlib.Path) -> None:
+    """Compare PATH with the bundle in force."""
+    reply = target.call('GET', '/v1/bundle')
+    for line in bundlefiles.compare_texts(reply['text'], path.read_text()):
+        click.echo(line)
+
+
+@main.command()
+@click.option('--json', 'is_json', is_flag=True, help='For machines.')
+@click.pass_obj
+def status(target: Target, is_json: bool) -> None:
+    """Show who owns what, queues by tier, and runners."""
+    reply = target.call('GET', '/v1/status')
+    if is_json:
+        click.echo(json.dumps(reply, indent=1))
+        return
+    click.echo(
+        f'{reply["host"]}: bundle {reply["bundle"]},'
+        f' {reply["open_requests"]} open requests,'
+        f' {reply["claims"]} claims,'
+        f' peers {", ".join(reply["peers"]) or "none"}'
+        f'{", draining" if reply["draining"] else ""}'
+    )
+    for name, shard in reply['shards'].items():
+        state = 'serving' if shard['serving'] else 'taking over'
+        click.echo(
+            f'  {name:24} epoch {shard["epoch"]:<4} {shard["owner"]}'
+            f' ({state}, then {shard["successor"] or "nobody"})'
+        )
+    for name, pool in reply['pools'].items():
+        click.echo(f'  pool {name}: waiting by tier {pool["waiting"]}')
+        for runner, state in pool['runners'].items():
+            usable = 'usable' if state['usable'] else 'not usable'
+            click.echo(
+                f'    {runner:12} {state["running"]} running,'
+                f' {state["tokens"]} tokens, {usable}'
+            )
+
+
+@main.command()
+@click.argument('host')
+@click.pass_obj
+def drain(target: Target, host: str) -> None:
+    """Stop the daemon of HOST gracefully."""
+    query = urllib.parse.urlencode({'host': host})
+    target.call('POST', f'/v1/drain?{query}')
+    click.echo(f'{host}: draining')
+
+
+@main.command()
+@click.argument('organisation')
+@click.argument('key')
+@click.pass_obj
+def explain(target: Target, organisation: str, key: str) -> None:
+    """Say what became of the request with this Idempotency-Key."""
+    query = urllib.parse.urlencode({'organisation': organisation, 'key': key})
+    reply = target.call('GET', f'/v1/explain?{query}')
+    click.echo(
+        f'{reply["state"]} (shard {reply["shard"]}, epoch {reply["epoch"]},'
+        f' holder {reply["holder"] or "none"})'
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -0,0 +1,154 @@
+"""What our HTTP applications share: bodies, answers, and a server to run.
+
+``uvicorn`` parses HTTP and calls an ASGI application; the daemon's two
+listeners and the stand-ins are such applications. ``Server`` runs one inside
+an anyio task and leaves the signals to its owner.
+"""
+
+import collections.abc
+import contextlib
+import json
+import socket
+import typing as ty
+
+import uvicorn
+
+from apricotlanding import addresses
+
+__all__ = [
+    'App',
+    'BodyTooLarge',
+    'Disconnected',
+    'Receive',
+    'Scope',
+    'Send',
+    'Server',
+    'read_body',
+    'read_headers',
+    'send_json',
+]
+
+Scope = dict[str, ty.Any]
+Message = dict[str, ty.Any]
+Receive = collections.abc.Callable[[], collections.abc.Awaitable[Message]]
+Send = collections.abc.Callable[[Message], collections.abc.Awaitable[None]]
+App = collections.abc.Callable[
+    [Scope, Receive, Send], collections.abc.Awaitable[None]
+]
+# Connections that may wait to be accepted.
+BACKLOG = 2048
+
+HeaderList = list[tuple[bytes, bytes]]
+
+
+@ty.final
+class BodyTooLarge(Exception):
+    """The body is longer than allowed."""
+
+
+@ty.final
+class Disconnected(Exception):
+    """The caller went away before its whole body had arrived."""
+
+
+async def read_body(receive: Receive, limit: int) -> bytes:
+    """Return the whole body; raises BodyTooLarge or Disconnected."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise Disconnected
+        part = message.get('body', b'')
+        size += len(part)
+        if size > limit:
+            raise BodyTooLarge
+        parts.append(part)
+        if not message.get('more_body', False):
+            return b''.join(parts)
+
+
+def read_headers(scope: Scope) -> dict[str, str]:
+    """Return the headers with names in lower case."""
+    return {
+        name.decode('latin-1').lower(): value.decode('latin-1')
+        for name, value in scope['headers']
+    }
+
+
+async def start_answer(
+    send: Send, status: int, headers: HeaderList | None = None
+) -> None:
+    """Send status and headers."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': headers or [],
+        }
+    )
+
+
+async def send_part(send: Send, data: bytes, is_last: bool = False) -> None:
+    """Send a part of the body."""
+    await send(
+        {
+            'type': 'http.response.body',
+            'body': data,
+            'more_body': not is_last,
+        }
+    )
+
+
+async def send_json(
+    send: Send,
+    status: int,
+    value: ty.Any,
+    headers: HeaderList | None = None,
+) -> None:
+    """Send a whole JSON answer."""
+    found = [(b'content-type', b'application/json'), *(headers or [])]
+    await start_answer(send, status, found)
+    await send_part(send, json.dumps(value).encode() + b'\n', is_last=True)
+
+
+@ty.final
+class _QuietServer(uvicorn.Server):
+    # The daemon decides what a signal means: uvicorn would cut the requests
+    # that a graceful stop lets finish.
+    @contextlib.contextmanager
+    def capture_signals(self) -> collections.abc.Iterator[None]:
+        yield
+
+
+@ty.final
+class Server:
+    """An HTTP listener."""
+
+    def __init__(self, app: App, address: addresses.Address) -> None:
+        """Bind the address; OSError if that cannot be."""
+        family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+        self._socket = socket.create_server(
+            (address.host, address.port), family=family, backlog=BACKLOG
+        )
+        config = uvicorn.Config(
+            app,
+            loop='none',
+            http='httptools',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=10,
+            timeout_graceful_shutdown=2,
+        )
+        self._server = _QuietServer(config)
+
+    async def serve(self) -> None:
+        """Serve until ``stop`` is called."""
+        await self._server.serve(sockets=[self._socket])
+
+    def stop(self) -> None:
+        """Close the listener; answers under way get a moment."""
+        self._server.should_exit = True
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/clocks.py
@@ -0,0 +1,23 @@
+"""Reading the clocks.
+
+Functions that decide take the present time as an argument; only the tasks
+around them read a clock, and they read it here.
+
+``read_monotonic`` is CLOCK_BOOTTIME: it goes on while the machine sleeps. A
+lease measured with CLOCK_MONOTONIC would seem unexpired to a holder whose
+host was suspended, and two owners would grant at once.
+"""
+
+import time
+
+__all__ = ['read_monotonic', 'read_wall']
+
+
+def read_monotonic() -> float:
+    """Return seconds on a clock of which only differences have meaning."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def read_wall() -> float:
+    """Return Unix time in seconds, as right as this host's clock is."""
+    return time.time()
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/codec.py
@@ -0,0 +1,127 @@
+"""Typed messages to and from msgpack.
+
+``wire`` and ``records`` declare small frozen dataclasses and register each
+under a number with a ``Registry``. A message travels as the msgpack array
+``[number, field, field, ...]`` in the order of the declaration. Decoding
+checks the shape with pydantic, so that a peer or a log record of the wrong
+shape is one clear error at the border and never a surprise further in.
+Fields at the end that have a default may be missing: that is how a newer
+daemon talks to an older one.
+
+    registry = Registry('peer message')
+
+    @registry.register(7)
+    @dataclasses.dataclass(frozen=True, slots=True)
+    class Ping:
+        sent_at: float
+
+    registry.decode(registry.encode(Ping(1.0))) == Ping(1.0)
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import typing as ty
+
+import msgpack
+import pydantic
+
+from apricotlanding import errors
+
+__all__ = ['Registry']
+
+T = ty.TypeVar('T')
+
+
+@ty.final
+class Registry:
+    """Message types by number."""
+
+    def __init__(self, name: str) -> None:
+        """Start without any type; the name is used in errors."""
+        self.name = name
+        self._adapters: dict[int, pydantic.TypeAdapter[ty.Any]] = {}
+        self._fields: dict[int, list[str]] = {}
+        self._numbers: dict[type, int] = {}
+
+    def register(
+        self, number: int
+    ) -> collections.abc.Callable[[type[T]], type[T]]:
+        """Return a decorator that files a dataclass under a number."""
+
+        def file_type(cls: type[T]) -> type[T]:
+            if number in self._adapters:
+                raise ValueError(f'{self.name} {number} is taken')
+            fields = dataclasses.fields(cls)  # type: ignore[arg-type]
+            self._adapters[number] = pydantic.TypeAdapter(cls)
+            self._fields[number] = [field.name for field in fields]
+            self._numbers[cls] = number
+            return cls
+
+        return file_type
+
+    def pack(self, message: object) -> list[ty.Any]:
+        """Return the array that stands for a message."""
+        number = self._numbers[type(message)]
+        names = self._fields[number]
+        adapter = self._adapters[number]
+        fields = adapter.dump_python(message)
+        return [number, *(fields[name] for name in names)]
+
+    def unpack(self, array: ty.Any) -> ty.Any:
+        """Return the message that an array stands for.
+
+        Raises Refused (BAD_FRAME) for anything else.
+        """
+        if not isinstance(array, list) or not array:
+            raise self._refuse('not an array')
+        number = array[0]
+        if not isinstance(number, int) or number not in self._adapters:
+            raise self._refuse(f'unknown {self.name} {number!r}')
+        names = self._fields[number]
+        if len(array) - 1 > len(names):
+            raise self._refuse(f'too many fields for {self.name} {number}')
+        fields = dict(zip(names, array[1:], strict=False))
+        try:
+            return self._adapters[number].validate_python(fields)
+        except pydantic.ValidationError as error:
+            first = error.errors(include_url=False)[0]
+            where = '.'.join(str(part) for part in first['loc'])
+            raise self._refuse(f'{where}: {first["msg"]}') from error
+
+    def encode(self, message: object) -> bytes:
+        """Return a message as msgpack."""
+        return pack_data(self.pack(message))
+
+    def decode(self, data: bytes) -> ty.Any:
+        """Return the message in msgpack data; Refused (BAD_FRAME) if bad."""
+        return self.unpack(unpack_data(data))
+
+    def _refuse(self, detail: str) -> errors.Refused:
+        return refuse_frame(detail)
+
+
+def pack_data(value: ty.Any) -> bytes:
+    """Return a plain value as msgpack; enums go by their values."""
+    return ty.cast(bytes, msgpack.packb(value, default=_simplify))
+
+
+def _simplify(value: ty.Any) -> ty.Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    raise TypeError(f'{type(value).__name__} cannot be sent')
+
+
+def unpack_data(data: bytes) -> ty.Any:
+    """Return the plain value in msgpack data; Refused if there is none."""
+    try:
+        return msgpack.unpackb(data, strict_map_key=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise refuse_frame(f'not msgpack ({error})') from error
+
+
+def refuse_frame(detail: str) -> errors.Refused:
+    """Return the error for data that cannot be read."""
+    return errors.Refused(
+        errors.make_problem(errors.Kind.BAD_FRAME, detail=detail)
+    )
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -0,0 +1,388 @@
+"""Every error that a caller or an operator can meet.
+
+The messages of the whole system are gathered here, each with a code that
+never changes meaning, so that they can be reviewed, documented and
+translated in one place. A ``Problem`` is a value: functions return it inside
+``expression.Result`` or carry it in a ``Refused`` exception when the stack
+has to unwind.
+
+``Outcome`` is the promise that goes with an error. *not-run* means that no
+runner has worked on the request and that none will; *unknown* means that one
+may have.
+"""
+
+import dataclasses
+import enum
+import typing as ty
+
+__all__ = [
+    'Kind',
+    'Outcome',
+    'Problem',
+    'Refused',
+    'make_problem',
+]
+
+
+class Outcome(enum.Enum):
+    """What became of a request, as its caller is told."""
+
+    COMPLETE = 'complete'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Template:
+    """Fixed part of an error."""
+
+    # Stable code, shown to callers and operators.
+    code: str
+    # HTTP status of an answer that consists of this error.
+    status: int
+    outcome: Outcome
+    # What happened; may name fields in braces.
+    text: str
+    # What the reader can do about it.
+    remedy: str
+
+
+class Kind(enum.Enum):
+    """Kinds of error; the value is the template."""
+
+    BAD_CREDENTIALS = Template(
+        'APL101',
+        401,
+        Outcome.NOT_RUN,
+        'the credentials were not accepted',
+        'send "Authorization: Bearer TOKEN" with a token in force',
+    )
+    UNKNOWN_ROUTE = Template(
+        'APL102',
+        404,
+        Outcome.NOT_RUN,
+        'there is no service route {route!r} for this organisation',
+        'use one of the routes that the operators set up for you',
+    )
+    BODY_TOO_LARGE = Template(
+        'APL103',
+        413,
+        Outcome.NOT_RUN,
+        'the body is larger than {limit} bytes',
+        'split the request or ask the operators for a higher limit',
+    )
+    HEADERS_TOO_LARGE = Template(
+        'APL104',
+        431,
+        Outcome.NOT_RUN,
+        'the request has more than {limit} headers',
+        'send only the headers that the interface names',
+    )
+    BAD_KEY = Template(
+        'APL105',
+        400,
+        Outcome.NOT_RUN,
+        'the Idempotency-Key is missing or is not a UUID',
+        'send a fresh UUIDv7 for each new request and the same one again'
+        ' for each retry',
+    )
+    KEY_REUSED = Template(
+        'APL106',
+        422,
+        Outcome.NOT_RUN,
+        'this Idempotency-Key was used before with another body or route',
+        'send a fresh UUIDv7; this request was not run',
+    )
+    KEY_FROM_FUTURE = Template(
+        'APL107',
+        400,
+        Outcome.NOT_RUN,
+        'the Idempotency-Key was issued {ahead_s:.1f} s in the future',
+        'set the clock of the host that issues the keys',
+    )
+    KEY_EXPIRED = Template(
+        'APL108',
+        400,
+        Outcome.NOT_RUN,
+        'the Idempotency-Key is older than the claim window of'
+        ' {window_s:.0f} s',
+        'find out what became of the first request before you issue a new key',
+    )
+    BAD_DEADLINE = Template(
+        'APL109',
+        400,
+        Outcome.NOT_RUN,
+        'Apricot-Deadline-Ms must be a whole number from 1 to {limit}',
+        'send the number of milliseconds that the answer is still useful',
+    )
+    BAD_BODY = Template(
+        'APL110',
+        400,
+        Outcome.NOT_RUN,
+        'the body is not what this route takes: {detail}',
+        'send the JSON object that docs/CALLERS.md describes',
+    )
+    INCOMPLETE_BODY = Template(
+        'APL111',
+        400,
+        Outcome.NOT_RUN,
+        'the connection closed before the whole body had arrived',
+        'send the request again with the same key',
+    )
+    BAD_METHOD = Template(
+        'APL112',
+        405,
+        Outcome.NOT_RUN,
+        'a service route takes POST only',
+        'send the request with POST',
+    )
+    SHED = Template(
+        'APL201',
+        429,
+        Outcome.NOT_RUN,
+        'the pool is overloaded and this was the lowest tier that waited',
+        'send the request again with the same key after Retry-After',
+    )
+    DEADLINE_PASSED = Template(
+        'APL202',
+        504,
+        Outcome.NOT_RUN,
+        'no runner became free before the deadline',
+        'send the request again with a later deadline',
+    )
+    NO_RUNNER = Template(
+        'APL203',
+        503,
+        Outcome.NOT_RUN,
+        'no runner of the pool took the request',
+        'send the request again with the same key after Retry-After',
+    )
+    NO_OWNER = Template(
+        'APL204',
+        503,
+        Outcome.NOT_RUN,
+        'the owner of this shard is changing',
+        'send the request again with the same key after Retry-After',
+    )
+    STOPPING = Template(
+        'APL205',
+        503,
+        Outcome.NOT_RUN,
+        'this daemon is stopping',
+        'send the request again with the same key; the balancer picks'
+        ' another daemon',
+    )
+    NO_BUNDLE = Template(
+        'APL206',
+        503,
+        Outcome.NOT_RUN,
+        'this daemon has no configuration bundle yet',
+        'wait for /readyz, or submit a bundle with apricotctl',
+    )
+    CLOCK_OFF = Template(
+        'APL207',
+        503,
+        Outcome.NOT_RUN,
+        'the wall clock of the claim owner is off by more than the allowance',
+        'operators: set the clock of {host}; callers: retry with the same'
+        ' key after Retry-After',
+    )
+    MEMORY_FULL = Template(
+        'APL208',
+        503,
+        Outcome.NOT_RUN,
+        'this daemon holds as many requests as its settings allow',
+        'send the request again with the same key after Retry-After',
+    )
+    CALLER_GONE = Template(
+        'APL209',
+        499,
+        Outcome.NOT_RUN,
+        'the caller went away while the request waited',
+        'send the request again',
+    )
+    OUTCOME_UNKNOWN = Template(
+        'APL301',
+        409,
+        Outcome.UNKNOWN,
+        'this request may have run: {detail}',
+        'do not send it again under a new key before you have checked what'
+        ' it did',
+    )
+    RUNNER_LOST = Template(
+        'APL302',
+        502,
+        Outcome.UNKNOWN,
+        'the runner was lost while it worked on the request: {detail}',
+        'the request may have run; check what it did before you issue a'
+        ' new key',
+    )
+    HOLDER_UNREACHABLE = Template(
+        'APL303',
+        409,
+        Outcome.UNKNOWN,
+        'another daemon holds this request and cannot be reached now',
+        'ask again with the same key after Retry-After',
+    )
+    ANSWER_GONE = Template(
+        'APL304',
+        409,
+        Outcome.UNKNOWN,
+        'the request ran to its end and its answer is no longer kept',
+        'the work is done; do not issue a new key for it',
+    )
+    RUNNER_FAILED = Template(
+        'APL305',
+        502,
+        Outcome.UNKNOWN,
+        'the runner answered with an error: {detail}',
+        'the request may have run in part; tell the operators the request key',
+    )
+    STOPPED_RUNNING = Template(
+        'APL306',
+        503,
+        Outcome.UNKNOWN,
+        'this daemon was stopped while the request ran',
+        'ask again with the same key; check what it did before you issue a'
+        ' new one',
+    )
+    DEADLINE_RUNNING = Template(
+        'APL307',
+        504,
+        Outcome.UNKNOWN,
+        'the deadline passed while the request ran',
+        'the request may have run; check what it did before you issue a'
+        ' new key',
+    )
+    BUNDLE_REFUSED = Template(
+        'APL401',
+        400,
+        Outcome.NOT_RUN,
+        'the bundle was refused: {detail}',
+        'mend it, run "apricotctl bundle check" and submit it again',
+    )
+    BUNDLE_LOST = Template(
+        'APL402',
+        409,
+        Outcome.NOT_RUN,
+        'version {version} by {author} came first on base {base}',
+        'base your change on version {version} and submit it again',
+    )
+    BUNDLE_DOUBTFUL = Template(
+        'APL403',
+        503,
+        Outcome.UNKNOWN,
+        "the platform's log did not answer; the bundle may still be accepted",
+        'run "apricotctl bundle status" before you submit it again',
+    )
+    NOT_AN_OPERATOR = Template(
+        'APL404',
+        401,
+        Outcome.NOT_RUN,
+        'the operator token was not accepted',
+        'set APRICOT_OPERATOR_TOKEN to a token in the daemon settings',
+    )
+    NOT_FOUND = Template(
+        'APL405',
+        404,
+        Outcome.NOT_RUN,
+        'there is nothing at {path!r}',
+        'see docs/OPERATORS.md for the paths',
+    )
+    LOG_UNREACHABLE = Template(
+        'APL501',
+        503,
+        Outcome.UNKNOWN,
+        "the platform's log cannot be reached: {detail}",
+        'check the address "log" in the settings and the log service',
+    )
+    BAD_FRAME = Template(
+        'APL502',
+        400,
+        Outcome.NOT_RUN,
+        'a peer sent a frame that cannot be read: {detail}',
+        'check that both daemons run versions that fit together',
+    )
+    BAD_PEER = Template(
+        'APL503',
+        401,
+        Outcome.NOT_RUN,
+        'a peer did not prove that it has the shared key: {detail}',
+        'set the same peer_key in the settings of every daemon',
+    )
+    PEER_LOST = Template(
+        'APL504',
+        503,
+        Outcome.UNKNOWN,
+        'the connection to peer {host} is lost',
+        'nothing to do; the daemon dials it again',
+    )
+    BAD_SETTINGS = Template(
+        'APL601',
+        400,
+        Outcome.NOT_RUN,
+        '{where}: {detail}',
+        '{hint}',
+    )
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One error, ready to be shown."""
+
+    kind: Kind
+    # ``text`` of the template with its fields filled in.
+    text: str
+    remedy: str
+    # Seconds after which asking again makes sense; None if never.
+    retry_after_s: float | None = None
+
+    @property
+    def code(self) -> str:
+        """Return the stable code, such as APL201."""
+        return self.kind.value.code
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return self.kind.value.status
+
+    @property
+    def outcome(self) -> Outcome:
+        """Return what the caller may rely on."""
+        return self.kind.value.outcome
+
+    def __str__(self) -> str:
+        """Return one line for people."""
+        return f'{self.code}: {self.text}; {self.remedy}'
+
+
+@ty.final
+class Refused(Exception):
+    """Carries a problem up the stack."""
+
+    def __init__(self, problem: Problem) -> None:
+        """Wrap a problem."""
+        super().__init__(str(problem))
+        self.problem = problem
+
+
+def make_problem(
+    kind: Kind,
+    retry_after_s: float | None = None,
+    **fields: object,
+) -> Problem:
+    """Fill a template's fields.
+
+    ``retry_after_s`` is in seconds. Raises KeyError if a field that the
+    template names is not given.
+    """
+    template = kind.value
+    return Problem(
+        kind=kind,
+        text=template.text.format(**fields),
+        remedy=template.remedy.format(**fields),
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/handshake.py
@@ -0,0 +1,127 @@
+"""How two peers prove to each other that they share a key.
+
+Both send a greeting with a nonce, then a proof: HMAC-SHA256 over the role of
+its sender and both greetings. Nothing else is read before the proof has been
+checked. The role keeps a proof from being sent back to its maker as the
+other side's; the nonces keep one from being used twice.
+
+Known limit: the frames after the handshake are neither encrypted nor
+authenticated one by one. The entry hosts' network has to be trusted with
+the requests' metadata (docs/design/peers.md).
+"""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+import typing as ty
+
+import anyio
+
+from apricotlanding import codec
+from apricotlanding import errors
+from apricotlanding import frames
+from apricotlanding import ids
+
+__all__ = ['Greeting', 'greet_acceptor', 'greet_dialer']
+
+# Raised by one whenever an older daemon could misread a newer one.
+PROTOCOL = 1
+# Seconds that a stranger may take to prove itself.
+HANDSHAKE_TIMEOUT = 3.0
+
+_DIALER = b'dialer'
+_ACCEPTOR = b'acceptor'
+_registry = codec.Registry('greeting')
+
+
+@_registry.register(1)
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Greeting:
+    """What a peer says of itself."""
+
+    protocol: int
+    host: ids.Host
+    incarnation: ids.Incarnation
+    domain: ids.Domain
+    nonce: bytes
+
+
+@_registry.register(2)
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Shows that the sender of a greeting has the shared key."""
+
+    digest: bytes
+
+
+def make_greeting(
+    host: ids.Host, incarnation: ids.Incarnation, domain: ids.Domain
+) -> Greeting:
+    """Return a greeting with a fresh nonce."""
+    return Greeting(
+        PROTOCOL, host, incarnation, domain, secrets.token_bytes(16)
+    )
+
+
+async def greet_acceptor(
+    stream: frames.FrameStream, mine: Greeting, key: bytes
+) -> Greeting:
+    """Run the dialer's half; return the acceptor's greeting.
+
+    Raises Refused (BAD_PEER or BAD_FRAME) or TimeoutError.
+    """
+    return await _greet(stream, mine, key, _DIALER, _ACCEPTOR)
+
+
+async def greet_dialer(
+    stream: frames.FrameStream, mine: Greeting, key: bytes
+) -> Greeting:
+    """Run the acceptor's half; return the dialer's greeting.
+
+    Raises Refused (BAD_PEER or BAD_FRAME) or TimeoutError.
+    """
+    return await _greet(stream, mine, key, _ACCEPTOR, _DIALER)
+
+
+async def _greet(
+    stream: frames.FrameStream,
+    mine: Greeting,
+    key: bytes,
+    my_role: bytes,
+    their_role: bytes,
+) -> Greeting:
+    with anyio.fail_after(HANDSHAKE_TIMEOUT):
+        await stream.send(_registry.pack(mine))
+        theirs = _registry.unpack(await stream.receive())
+        if not isinstance(theirs, Greeting):
+            raise _refuse_peer('no greeting')
+        if theirs.protocol != PROTOCOL:
+            raise _refuse_peer(f'it speaks protocol {theirs.protocol}')
+        digest = _make_digest(key, my_role, mine, theirs)
+        await stream.send(_registry.pack(Proof(digest)))
+        proof = _registry.unpack(await stream.receive())
+        if not isinstance(proof, Proof):
+            raise _refuse_peer('no proof')
+        expected = _make_digest(key, their_role, theirs, mine)
+        if not hmac.compare_digest(proof.digest, expected):
+            raise _refuse_peer('the proof does not match')
+    stream.limit = frames.FRAME_LIMIT
+    return theirs
+
+
+def _make_digest(
+    key: bytes, role: bytes, speaker: Greeting, listener: Greeting
+) -> bytes:
+    signed = b'\0'.join(
+        [role, _registry.encode(speaker), _registry.encode(listener)]
+    )
+    return hmac.new(key, signed, hashlib.sha256).digest()
+
+
+def _refuse_peer(detail: str) -> errors.Refused:
+    return errors.Refused(
+        errors.make_problem(errors.Kind.BAD_PEER, detail=detail)
+    )
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/ids.py
@@ -0,0 +1,78 @@
+"""Identifiers that the processes exchange.
+
+Every identifier is a ``NewType``, so that a checker finds a host given
+where a runner is expected. Values are plain strings and integers on the
+wire; see ``wire`` and ``records`` for the messages that carry them.
+
+One *host* runs one daemon process at a time. An *incarnation* is one run of
+one daemon process: a restarted daemon has the same host and a new
+incarnation, and nothing that an earlier incarnation promised binds it.
+"""
+
+import secrets
+import typing as ty
+import uuid
+
+__all__ = [
+    'Domain',
+    'Epoch',
+    'Host',
+    'Incarnation',
+    'Key',
+    'Offset',
+    'Organisation',
+    'Pool',
+    'Route',
+    'Runner',
+    'Shard',
+    'Tier',
+    'Version',
+    'make_incarnation',
+    'parse_host',
+    'read_issue_time',
+]
+
+Organisation = ty.NewType('Organisation', str)
+Route = ty.NewType('Route', str)
+Pool = ty.NewType('Pool', str)
+Runner = ty.NewType('Runner', str)
+Host = ty.NewType('Host', str)
+Domain = ty.NewType('Domain', str)
+# ``host/16 hex digits``.
+Incarnation = ty.NewType('Incarnation', str)
+# An idempotency key as the caller sent it, in canonical UUID form.
+Key = ty.NewType('Key', str)
+# ``claims/N`` or ``pool/NAME``.
+Shard = ty.NewType('Shard', str)
+# Counts the owners of a shard, from 1; also the fencing number.
+Epoch = ty.NewType('Epoch', int)
+# A position in the platform's log.
+Offset = ty.NewType('Offset', int)
+# Version of a configuration bundle, from 1.
+Version = ty.NewType('Version', int)
+# Rank of a priority tier: 0 is the most important.
+Tier = ty.NewType('Tier', int)
+
+_UUIDV7 = 7
+
+
+def make_incarnation(host: Host) -> Incarnation:
+    """Return a name for this run of this process."""
+    return Incarnation(f'{host}/{secrets.token_hex(8)}')
+
+
+def parse_host(incarnation: Incarnation) -> Host:
+    """Return the host that runs this incarnation."""
+    return Host(incarnation.rpartition('/')[0])
+
+
+def read_issue_time(key: Key) -> float | None:
+    """Return when a key was issued, in Unix seconds.
+
+    Only a UUIDv7 (RFC 9562) carries its time: the first 48 bits count
+    milliseconds. Returns None for any other UUID.
+    """
+    value = uuid.UUID(key)
+    if value.version != _UUIDV7:
+        return None
+    return (value.int >> 80) / 1000.0
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/platformlog.py
@@ -0,0 +1,110 @@
+"""Client of the platform's append-only log.
+
+The log service speaks HTTP: ``POST /append`` takes the bytes of one record
+and answers with its offset; ``GET /records?from=N&wait_ms=M`` answers with
+the records from an offset on, waiting for the first one if there is none.
+
+An append whose reply is lost may have taken effect, now or later. This
+module only reports the doubt (``LogDoubt``); ``logfollower`` in the daemon
+settles it.
+"""
+
+import base64
+import dataclasses
+import typing as ty
+
+from apricotlanding import addresses
+from apricotlanding import ids
+from apricotlanding import webclient
+
+__all__ = ['LogBatch', 'LogDoubt', 'LogUnreachable', 'PlatformLog']
+
+APPEND_TIMEOUT = 2.0
+# How long the service holds a read that finds nothing, in milliseconds.
+POLL_WAIT_MS = 1000
+_READ_TIMEOUT = 5.0
+
+
+@ty.final
+class LogUnreachable(Exception):
+    """Nothing was read, or nothing can have been appended."""
+
+
+@ty.final
+class LogDoubt(Exception):
+    """An append may or may not take effect, now or later."""
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogBatch:
+    """Consecutive records."""
+
+    # Oldest offset that the log still has.
+    first: ids.Offset
+    # Offset after the last record of this batch.
+    next: ids.Offset
+    # True if the log had nothing behind this batch when it was read.
+    is_end: bool
+    records: list[tuple[ids.Offset, bytes]]
+
+
+@ty.final
+class PlatformLog:
+    """The log at one address."""
+
+    def __init__(self, address: addresses.Address) -> None:
+        """Prepare a client; no connection is made yet."""
+        self._client = webclient.WebClient(address, max_connections=8)
+
+    async def append(self, data: bytes) -> None:
+        """Append a record; returns once the service says that it stands.
+
+        Raises LogUnreachable if nothing was sent, else LogDoubt.
+        """
+        try:
+            status, _ = await self._client.call(
+                'POST', '/append', body=data, read_timeout=APPEND_TIMEOUT
+            )
+        except webclient.NotSent as error:
+            raise LogUnreachable(str(error)) from error
+        except webclient.WebError as error:
+            raise LogDoubt(str(error)) from error
+        if status != 200:
+            raise LogDoubt(f'status {status}')
+
+    async def read(self, start: ids.Offset) -> LogBatch:
+        """Return records from ``start`` on; raises LogUnreachable.
+
+        Records that retention dropped are skipped: compare ``first``.
+        """
+        path = f'/records?from={start}&wait_ms={POLL_WAIT_MS}'
+        try:
+            status, reply = await self._client.call_json(
+                'GET', path, read_timeout=_READ_TIMEOUT
+            )
+        except webclient.WebError as error:
+            raise LogUnreachable(str(error)) from error
+        if status != 200:
+            raise LogUnreachable(f'status {status}')
+        try:
+            return _read_batch(reply)
+        except (KeyError, TypeError, ValueError) as error:
+            raise LogUnreachable(f'bad answer: {error!r}') from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._client.close()
+
+
+def _read_batch(reply: ty.Any) -> LogBatch:
+    found = [
+        (ids.Offset(int(item['offset'])), base64.b64decode(item['data']))
+        for item in reply['records']
+    ]
+    return LogBatch(
+        first=ids.Offset(int(reply['first'])),
+        next=ids.Offset(int(reply['next'])),
+        is_end=bool(reply['is_end']),
+        records=found,
+    )
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/signatures.py
@@ -0,0 +1,97 @@
+"""Signing bundles: one operator writes, another approves.
+
+Both sign the same bytes with Ed25519: the role, the two names and the text.
+The role is part of what is signed, so that an approval cannot be shown as
+authorship. Daemons know the operators' public keys from their settings, not
+from a bundle: a bundle must not be able to admit its own signers.
+"""
+
+import collections.abc
+
+from cryptography import exceptions
+from cryptography.hazmat.primitives.asymmetric import ed25519
+from cryptography.hazmat.primitives import serialization
+
+from apricotlanding import records
+
+__all__ = [
+    'describe_bad_signature',
+    'make_private_key',
+    'read_public_key',
+    'sign_bundle',
+    'write_public_key',
+]
+
+_AUTHOR = b'author'
+_APPROVER = b'approver'
+
+PublicKeys = collections.abc.Mapping[str, ed25519.Ed25519PublicKey]
+
+
+def make_private_key() -> bytes:
+    """Return a new private key in PEM form."""
+    return ed25519.Ed25519PrivateKey.generate().private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+
+
+def write_public_key(private_pem: bytes) -> str:
+    """Return the public half in hex, as settings name it."""
+    public = _read_private_key(private_pem).public_key()
+    return public.public_bytes_raw().hex()
+
+
+def read_public_key(text: str) -> ed25519.Ed25519PublicKey:
+    """Return the key in 64 hex digits; ValueError if it is none."""
+    return ed25519.Ed25519PublicKey.from_public_bytes(bytes.fromhex(text))
+
+
+def sign_bundle(
+    private_pem: bytes,
+    is_author: bool,
+    author: str,
+    approver: str,
+    text: bytes,
+) -> bytes:
+    """Return one of the two signatures of a bundle."""
+    role = _AUTHOR if is_author else _APPROVER
+    signed = _make_signed(role, author, approver, text)
+    return _read_private_key(private_pem).sign(signed)
+
+
+def describe_bad_signature(
+    record: records.BundleRecord, keys: PublicKeys
+) -> str | None:
+    """Return what is wrong with a record's signatures; None if nothing."""
+    if record.author == record.approver:
+        return 'author and approver are the same operator'
+    for name, role, signature in (
+        (record.author, _AUTHOR, record.author_signature),
+        (record.approver, _APPROVER, record.approver_signature),
+    ):
+        key = keys.get(name)
+        if key is None:
+            return f'{name!r} is not among the operators of the settings'
+        signed = _make_signed(
+            role, record.author, record.approver, record.text
+        )
+        try:
+            key.verify(signature, signed)
+        except exceptions.InvalidSignature:
+            return f'the signature of {name!r} does not match'
+    return None
+
+
+def _read_private_key(pem: bytes) -> ed25519.Ed25519PrivateKey:
+    key = serialization.load_pem_private_key(pem, password=None)
+    if not isinstance(key, ed25519.Ed25519PrivateKey):
+        raise ValueError('not an Ed25519 key; make one with apricotctl keygen')
+    return key
+
+
+def _make_signed(
+    role: bytes, author: str, approver: str, text: bytes
+) -> bytes:
+    return b'\0'.join([role, author.encode(), approver.encode(), text])
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/supervisor.py
@@ -0,0 +1,98 @@
+"""A supervisor: runs children, restarts those that fail.
+
+Each part of a daemon is a child: an async function that runs until it is
+cancelled. A child that raises is logged and started again after a delay that
+doubles up to a limit; a child that fails on and on does not take the others
+with it, and the daemon goes on with what works. Children may be supervisors
+themselves, which makes the tree.
+"""
+
+import collections.abc
+import typing as ty
+
+import anyio
+import anyio.abc
+import eliot
+
+__all__ = ['Supervisor', 'run_guarded']
+
+Child = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+
+FIRST_DELAY = 0.1
+LAST_DELAY = 5.0
+
+
+async def run_guarded(
+    work: collections.abc.Callable[..., collections.abc.Awaitable[object]],
+    *arguments: ty.Any,
+) -> None:
+    """Run a task of a group so that its failure ends only itself.
+
+    Without this one task's fault would cancel all others of its group.
+    """
+    try:
+        await work(*arguments)
+    except Exception:
+        eliot.write_traceback()
+
+
+@ty.final
+class Supervisor:
+    """One level of the tree."""
+
+    def __init__(self, name: str) -> None:
+        """Start without children; the name is used in logs."""
+        self.name = name
+        self._group: anyio.abc.TaskGroup | None = None
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    async def __aenter__(self) -> 'Supervisor':
+        """Open the group that the children run in."""
+        self._group = anyio.create_task_group()
+        await self._group.__aenter__()
+        return self
+
+    async def __aexit__(self, *details: ty.Any) -> bool | None:
+        """Cancel the children and wait for their end."""
+        assert self._group is not None
+        self._group.cancel_scope.cancel()
+        return await self._group.__aexit__(*details)
+
+    def start(self, name: str, child: Child) -> None:
+        """Run a child until it returns or is stopped."""
+        assert self._group is not None
+        scope = anyio.CancelScope()
+        self._scopes[name] = scope
+        self._group.start_soon(self._run, name, child, scope, name=name)
+
+    def stop(self, name: str) -> None:
+        """Cancel a child; nothing happens if there is none."""
+        scope = self._scopes.pop(name, None)
+        if scope is not None:
+            scope.cancel()
+
+    def list_children(self) -> list[str]:
+        """Return the names of the children that run."""
+        return sorted(self._scopes)
+
+    async def _run(
+        self, name: str, child: Child, scope: anyio.CancelScope
+    ) -> None:
+        delay = FIRST_DELAY
+        with scope:
+            while True:
+                try:
+                    await child()
+                    break
+                except Exception:
+                    eliot.write_traceback()
+                eliot.log_message(
+                    'supervisor:restart',
+                    supervisor=self.name,
+                    child=name,
+                    delay_s=delay,
+                )
+                await anyio.sleep(delay)
+                delay = min(2 * delay, LAST_DELAY)
+        if self._scopes.get(name) is scope:
+            del self._scopes[name]
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/tracing.py
@@ -0,0 +1,96 @@
+"""Traces: a span for each hop of a request, by OpenTelemetry.
+
+The hops are caller, entry, claim, schedule and runner. Trace ids come from
+the caller's ``traceparent`` header (W3C Trace Context) and go on to the
+runner in the same header. Finished spans are written as JSON lines from a
+thread of the library's own; a full queue drops spans and a file that cannot
+be written drops them all, and no request waits for either.
+"""
+
+import collections.abc
+import json
+import pathlib
+import typing as ty
+
+from opentelemetry import context
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as sdk
+from opentelemetry.sdk.trace import export
+from opentelemetry import trace
+from opentelemetry.trace.propagation import tracecontext
+
+__all__ = ['Tracer', 'make_tracer']
+
+Tracer = trace.Tracer
+_propagator = tracecontext.TraceContextTextMapPropagator()
+
+
+@ty.final
+class _LineExporter(export.SpanExporter):
+    def __init__(self, path: pathlib.Path) -> None:
+        self._path = path
+
+    def export(
+        self, spans: collections.abc.Sequence[sdk.ReadableSpan]
+    ) -> export.SpanExportResult:
+        try:
+            with self._path.open('a') as file:
+                for span in spans:
+                    file.write(json.dumps(_describe_span(span)) + '\n')
+        except OSError:
+            return export.SpanExportResult.FAILURE
+        return export.SpanExportResult.SUCCESS
+
+
+def _describe_span(span: sdk.ReadableSpan) -> dict[str, ty.Any]:
+    found = span.get_span_context()
+    assert found is not None
+    parent = span.parent
+    return {
+        'trace': trace.format_trace_id(found.trace_id),
+        'span': trace.format_span_id(found.span_id),
+        'parent': trace.format_span_id(parent.span_id) if parent else None,
+        'name': span.name,
+        'host': span.resource.attributes.get('service.instance.id'),
+        'start_ns': span.start_time,
+        'end_ns': span.end_time,
+        'attributes': dict(span.attributes or {}),
+    }
+
+
+def make_tracer(
+    name: str, path: pathlib.Path | None
+) -> tuple[Tracer, collections.abc.Callable[[], None]]:
+    """Return a tracer and a function that writes what is left.
+
+    Without a path the tracer makes spans that cost next to nothing and go
+    nowhere.
+    """
+    if path is None:
+        return trace.NoOpTracerProvider().get_tracer('apricotlanding'), _rest
+    provider = sdk.TracerProvider(
+        resource=resources.Resource({'service.instance.id': name}),
+        shutdown_on_exit=False,
+    )
+    provider.add_span_processor(
+        export.BatchSpanProcessor(
+            _LineExporter(path), schedule_delay_millis=500
+        )
+    )
+    return provider.get_tracer('apricotlanding'), provider.shutdown
+
+
+def read_parent(headers: dict[str, str]) -> context.Context:
+    """Return the context that a caller's headers name."""
+    return _propagator.extract(headers)
+
+
+def write_parent(where: context.Context) -> list[tuple[bytes, bytes]]:
+    """Return the headers that carry a context on."""
+    carrier: dict[str, str] = {}
+    _propagator.inject(carrier, where)
+    return [(name.encode(), value.encode()) for name, value in carrier.items()]
+
+
+def _rest() -> None:
+    return
--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/webclient.py
@@ -0,0 +1,182 @@
+"""HTTP calls to the platform, to backend servers and to daemons.
+
+A thin layer over ``httpcore``: one connection pool for each address, time
+limits on every step, and errors narrowed to two kinds that matter to a
+scheduler. ``NotSent`` means that not a byte of the request has left this
+process, so the other side cannot have acted on it; ``Broken`` means that it
+may have.
+"""
+
+import collections.abc
+import contextlib
+import dataclasses
+import json
+import typing as ty
+
+import httpcore
+
+from apricotlanding import addresses
+
+__all__ = ['Broken', 'NotSent', 'Response', 'WebClient', 'WebError']
+
+Headers = list[tuple[bytes, bytes]]
+
+# Seconds to connect: our hosts are milliseconds apart.
+CONNECT_TIMEOUT = 1.0
+
+
+class WebError(Exception):
+    """The call failed."""
+
+
+@ty.final
+class NotSent(WebError):
+    """No connection could be made; nothing was sent."""
+
+
+@ty.final
+class Broken(WebError):
+    """The connection broke after the request may have been sent."""
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class Response:
+    """A status, headers, and a body that is still on its way."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    _raw: httpcore.Response
+
+    async def iterate(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the body as it arrives; Broken if it is cut."""
+        try:
+            async for part in self._raw.aiter_stream():
+                yield part
+        except (httpcore.NetworkError, httpcore.TimeoutException) as error:
+            raise Broken(repr(error)) from error
+        except httpcore.ProtocolError as error:
+            raise Broken(repr(error)) from error
+
+    async def read(self, limit: int) -> bytes:
+        """Return the whole body; Broken if it is longer than ``limit``."""
+        parts: list[bytes] = []
+        size = 0
+        async for part in self.iterate():
+            size += len(part)
+            if size > limit:
+                raise Broken(f'the answer is longer than {limit} bytes')
+            parts.append(part)
+        return b''.join(parts)
+
+
+@ty.final
+class WebClient:
+    """Calls to one address."""
+
+    def __init__(
+        self,
+        address: addresses.Address,
+        max_connections: int = 1000,
+        read_timeout: float = 30.0,
+    ) -> None:
+        """Prepare a pool; no connection is made yet.
+
+        ``read_timeout`` bounds the wait for each part of an answer, in
+        seconds.
+        """
+        self.address = address
+        self._base = f'http://{address}'
+        self._read_timeout = read_timeout
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            # Below the time after which uvicorn drops an idle connection:
+            # a request on a connection that the other side has just closed
+            # would be Broken although it was never read.
+            keepalive_expiry=2.0,
+        )
+
+    @contextlib.asynccontextmanager
+    async def open(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b'',
+        read_timeout: float | None = None,
+    ) -> collections.abc.AsyncIterator[Response]:
+        """Send a request and yield its response.
+
+        Raises NotSent or Broken.
+        """
+        timeout = {
+            'connect': CONNECT_TIMEOUT,
+            'read': read_timeout or self._read_timeout,
+            'write': 10.0,
+            'pool': CONNECT_TIMEOUT,
+        }
+        try:
+            context = self._pool.stream(
+                method,
+                self._base + path,
+                headers=[(b'Host', str(self.address).encode())]
+                + (headers or []),
+                content=body,
+                extensions={'timeout': timeout},
+            )
+            raw = await context.__aenter__()
+        except (
+            httpcore.ConnectError,
+            httpcore.ConnectTimeout,
+            httpcore.PoolTimeout,
+        ) as error:
+            raise NotSent(repr(error)) from error
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as error:
+            raise Broken(repr(error)) from error
+        try:
+            found = {name.lower(): value for name, value in raw.headers}
+            yield Response(raw.status, found, raw)
+        finally:
+            await context.__aexit__(None, None, None)
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b'',
+        read_timeout: float | None = None,
+        limit: int = 64 * 1024 * 1024,
+    ) -> tuple[int, bytes]:
+        """Return status and whole body; raises NotSent or Broken."""
+        async with self.open(
+            method, path, headers, body, read_timeout
+        ) as response:
+            return response.status, await response.read(limit)
+
+    async def call_json(
+        self,
+        method: str,
+        path: str,
+        value: ty.Any = None,
+        headers: Headers | None = None,
+        read_timeout: float | None = None,
+    ) -> tuple[int, ty.Any]:
+        """Send and receive JSON; raises NotSent or Broken."""
+        body = b'' if value is None else json.dumps(value).encode()
+        status, data = await self.call(
+            method, path, headers, body, read_timeout
+        )
+        try:
+            return status, json.loads(data) if data else None
+        except ValueError as error:
+            raise Broken(f'not JSON: {error}') from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._pool.aclose()
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/admission.py
@@ -0,0 +1,233 @@
+"""Admission: from an HTTP request to a request that can be scheduled.
+
+Everything that a caller can get wrong is found here, before the request
+costs anything beyond this daemon, and is answered with an error that names
+the remedy.
+"""
+
+import collections.abc
+import dataclasses
+import hashlib
+import json
+import secrets
+import typing as ty
+import uuid
+
+import expression
+import xxhash
+
+from apricotlanding import bundle
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlandingd import runnerstate
+
+__all__ = ['Request', 'check_body', 'check_headers', 'hash_prefix']
+
+DEADLINE_HEADER = 'apricot-deadline-ms'
+KEY_HEADER = 'idempotency-key'
+# Blocks of a prompt that are looked at; a longer prefix tells no more.
+_PREFIX_BLOCKS = 256
+_BEARER = 'bearer '
+
+Headers = collections.abc.Mapping[str, str]
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """What the headers say."""
+
+    organisation: ids.Organisation
+    route: bundle.RouteModel
+    tier: ids.Tier
+    tier_name: str
+    weight: float
+    key: ids.Key
+    deadline_s: float
+    claim_shards: int
+    body_limit: int
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A request that may be scheduled."""
+
+    head: Head
+    kind: bundle.RunnerKind
+    # As it goes to a plain service.
+    body: bytes
+    # Of route and body: a key stands for one of each.
+    digest: bytes
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    prefix: list[int]
+
+    @property
+    def is_at_most_once(self) -> bool:
+        """Tell whether it must not run twice."""
+        return self.head.route.repeat is bundle.Repeat.AT_MOST_ONCE
+
+    @property
+    def shard(self) -> ids.Shard:
+        """Return the claims shard of its key."""
+        head = self.head
+        return find_shard(head.organisation, head.key, head.claim_shards)
+
+
+def find_shard(
+    organisation: ids.Organisation, key: ids.Key, claim_shards: int
+) -> ids.Shard:
+    """Return the claims shard of a key."""
+    digest = xxhash.xxh3_64_intdigest(f'{organisation}\0{key}'.encode())
+    return ids.Shard(f'claims/{digest % claim_shards}')
+
+
+def check_headers(
+    config: bundle.Bundle, route_name: str, headers: Headers, count: int
+) -> expression.Result[Head, errors.Problem]:
+    """Check everything but the body; ``count`` is the number of headers."""
+    if count > config.limits.headers:
+        return _fail(
+            errors.Kind.HEADERS_TOO_LARGE, limit=config.limits.headers
+        )
+    organisation = _find_organisation(config, headers)
+    if organisation is None:
+        # The same words for no token, a malformed one and a wrong one:
+        # nothing tells a stranger whether an organisation exists.
+        return _fail(errors.Kind.BAD_CREDENTIALS)
+    model = config.organisations[organisation]
+    route = config.routes.get(ids.Route(route_name))
+    if route is None or (
+        model.routes is not None and route.name not in model.routes
+    ):
+        return _fail(errors.Kind.UNKNOWN_ROUTE, route=route_name[:64])
+    key = _read_key(route, headers)
+    if key is None:
+        return _fail(errors.Kind.BAD_KEY)
+    deadline_ms = _read_deadline(config, route, headers)
+    if deadline_ms is None:
+        return _fail(errors.Kind.BAD_DEADLINE, limit=config.limits.deadline_ms)
+    tier = config.find_tier(organisation, route)
+    return expression.Ok(
+        Head(
+            organisation=organisation,
+            route=route,
+            tier=tier,
+            tier_name=config.get_tier_name(tier),
+            weight=model.weight,
+            key=key,
+            deadline_s=deadline_ms / 1000.0,
+            claim_shards=config.ownership.claim_shards,
+            body_limit=config.limits.body_bytes,
+        )
+    )
+
+
+def check_body(
+    config: bundle.Bundle, head: Head, body: bytes
+) -> expression.Result[Request, errors.Problem]:
+    """Check the body against what the route's runners take."""
+    pool = config.pools[ids.Pool(head.route.pool)]
+    kind = pool.runners[0].kind
+    digest = hashlib.sha256(head.route.name.encode() + b'\0' + body).digest()
+    if kind is bundle.RunnerKind.SERVICE:
+        return expression.Ok(Request(head, kind, body, digest, '', 0, 1, []))
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError):
+        return _fail(errors.Kind.BAD_BODY, detail='not JSON')
+    wrong = _describe_generate(value)
+    if wrong is not None:
+        return _fail(errors.Kind.BAD_BODY, detail=wrong)
+    prompt = value['prompt']
+    words = prompt.split()
+    return expression.Ok(
+        Request(
+            head=head,
+            kind=kind,
+            body=body,
+            digest=digest,
+            prompt=prompt,
+            prompt_tokens=len(words),
+            max_tokens=value.get('max_tokens', head.route.max_tokens),
+            prefix=hash_prefix(words),
+        )
+    )
+
+
+def hash_prefix(words: list[str]) -> list[int]:
+    """Return the hash chain over the full blocks of a prompt.
+
+    Each hash covers its block and all before it, as engines name the
+    blocks of their cache in their events.
+    """
+    chain: list[int] = []
+    hasher = xxhash.xxh3_64()
+    size = runnerstate.BLOCK
+    for start in range(0, len(words) - size + 1, size):
+        if len(chain) == _PREFIX_BLOCKS:
+            break
+        hasher.update('\0'.join(words[start : start + size]).encode())
+        # 63 bits: what every codec on the way can carry.
+        chain.append(hasher.intdigest() >> 1)
+    return chain
+
+
+def _find_organisation(
+    config: bundle.Bundle, headers: Headers
+) -> ids.Organisation | None:
+    value = headers.get('authorization', '')
+    if not value.lower().startswith(_BEARER):
+        return None
+    return config.find_organisation(value[len(_BEARER) :].strip())
+
+
+def _read_key(route: bundle.RouteModel, headers: Headers) -> ids.Key | None:
+    text = headers.get(KEY_HEADER)
+    if text is None:
+        if route.repeat is bundle.Repeat.AT_MOST_ONCE:
+            return None
+        # Only an idempotent request may come without: it gets a name of
+        # its own, under which nobody can ask again.
+        return ids.Key(str(uuid.UUID(bytes=secrets.token_bytes(16))))
+    try:
+        return ids.Key(str(uuid.UUID(text.strip().strip('"'))))
+    except ValueError:
+        return None
+
+
+def _read_deadline(
+    config: bundle.Bundle, route: bundle.RouteModel, headers: Headers
+) -> int | None:
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return route.deadline_ms
+    if not text.isascii() or not text.isdecimal() or len(text) > 12:
+        return None
+    value = int(text)
+    if not 1 <= value <= config.limits.deadline_ms:
+        return None
+    return value
+
+
+def _describe_generate(value: ty.Any) -> str | None:
+    if not isinstance(value, dict):
+        return 'not an object'
+    unknown = set(value) - {'prompt', 'max_tokens'}
+    if unknown:
+        return f'unknown field {min(unknown)!r}'
+    prompt = value.get('prompt')
+    if not isinstance(prompt, str) or not prompt.split():
+        return '"prompt" must be a text that is not empty'
+    most = value.get('max_tokens', 1)
+    if type(most) is not int or most < 1:
+        return '"max_tokens" must be a whole number above 0'
+    return None
+
+
+def _fail(
+    kind: errors.Kind, **fields: object
+) -> expression.Result[ty.Any, errors.Problem]:
+    return expression.Error(errors.make_problem(kind, None, **fields))
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/attaching.py
@@ -0,0 +1,118 @@
+"""Reading an answer that another daemon holds.
+
+A caller that retries may reach any daemon. The claim owner says who holds
+the key; this daemon copies the answer from there, from its beginning, while
+it still grows. ``serve`` is the holder's side.
+"""
+
+import collections.abc
+import typing as ty
+
+import eliot
+
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import wire
+from apricotlandingd import answers
+from apricotlandingd import claims
+from apricotlandingd import peerlink
+from apricotlandingd import peers
+
+__all__ = ['Attacher']
+
+# Longest wait for the next part of the answer, in seconds; work may wait
+# in its queue for long, so the reader's own deadline usually ends it.
+PART_TIMEOUT = 3600.0
+_RETRY_AFTER = 1.0
+# Code of an end that says: this key is not here and was not run.
+_MISSING = 'missing'
+
+
+@ty.final
+class Attacher:
+    """Both sides of reading another daemon's answer."""
+
+    def __init__(
+        self,
+        store: answers.AnswerStore,
+        claim_client: claims.ClaimClient,
+        others: peers.Peers,
+    ) -> None:
+        """Prepare."""
+        self._store = store
+        self._claims = claim_client
+        self._peers = others
+
+    async def copy(
+        self, kept: answers.Kept, shard: ids.Shard, reply: wire.ClaimReply
+    ) -> errors.Problem | None:
+        """Copy the holder's answer; return how it ended."""
+        assert reply.holder is not None
+        message = wire.Attach(kept.organisation, kept.key, shard, reply.ticket)
+        if reply.holder == self._peers.incarnation:
+            # We held it and have dropped it since.
+            await self._claims.release_missing(message)
+            return self._describe_missing(reply)
+        connection = self._peers.find(reply.holder)
+        if connection is None:
+            return self._describe_unreachable(reply)
+        try:
+            async for part in connection.iterate(message, PART_TIMEOUT):
+                if isinstance(part, wire.Chunk):
+                    kept.answer.add(part.data)
+                elif isinstance(part, wire.AttachEnd):
+                    kept.answer.runner = part.runner
+                    kept.answer.status = part.status
+                    return self._read_end(part, reply)
+        except peerlink.PeerLost as error:
+            eliot.log_message('attach:lost', error=str(error))
+        return self._describe_unreachable(reply)
+
+    async def serve(
+        self, message: wire.Attach, sender: ids.Incarnation
+    ) -> collections.abc.AsyncIterator[wire.Chunk | wire.AttachEnd]:
+        """Yield the answer that this daemon holds."""
+        kept = self._store.find(message.organisation, message.key)
+        if kept is None or kept.ticket != message.ticket:
+            await self._claims.release_missing(message)
+            yield wire.AttachEnd(_MISSING, '', None, None, 200)
+            return
+        answer = kept.answer
+        async for data in answer.iterate():
+            yield wire.Chunk(data)
+        assert answer.end is not None
+        problem = answer.end.problem
+        if problem is None:
+            yield wire.AttachEnd('', '', None, answer.runner, answer.status)
+            return
+        yield wire.AttachEnd(
+            problem.kind.name,
+            problem.text,
+            problem.retry_after_s,
+            answer.runner,
+            answer.status,
+        )
+
+    def _read_end(
+        self, end: wire.AttachEnd, reply: wire.ClaimReply
+    ) -> errors.Problem | None:
+        if not end.code:
+            return None
+        if end.code == _MISSING:
+            return self._describe_missing(reply)
+        kind = errors.Kind[end.code]
+        return errors.Problem(
+            kind, end.text, kind.value.remedy, end.retry_after_s
+        )
+
+    def _describe_missing(self, reply: wire.ClaimReply) -> errors.Problem:
+        if reply.verdict is wire.ClaimVerdict.FINISHED:
+            return errors.make_problem(errors.Kind.ANSWER_GONE)
+        return errors.make_problem(errors.Kind.NO_OWNER, _RETRY_AFTER)
+
+    def _describe_unreachable(self, reply: wire.ClaimReply) -> errors.Problem:
+        if reply.verdict is wire.ClaimVerdict.FINISHED:
+            return errors.make_problem(errors.Kind.ANSWER_GONE)
+        return errors.make_problem(
+            errors.Kind.HOLDER_UNREACHABLE, claims.RETRY_AFTER
+        )
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/bundlestore.py
@@ -0,0 +1,186 @@
+"""The configuration bundle in force.
+
+Bundles reach a daemon by two ways: the log, which decides, and other
+daemons, which hand on what the log has decided already. A record of the log
+is valid if its base is the version in force, its signatures are good and its
+text passes every check; the first valid one on a base wins at its offset,
+and the one that came second is told to whom it lost. The version in force
+never goes down, whatever arrives late or again.
+"""
+
+import collections.abc
+import typing as ty
+
+import eliot
+import expression
+
+from apricotlanding import bundle
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import records
+from apricotlanding import signatures
+from apricotlandingd import policies
+
+__all__ = ['BundleStore']
+
+OnChange = collections.abc.Callable[[bundle.Bundle], None]
+
+
+@ty.final
+class BundleStore:
+    """Follows the bundles of the log."""
+
+    def __init__(self, keys: signatures.PublicKeys) -> None:
+        """Start without a bundle; ``keys`` are the operators' by name."""
+        self._keys = keys
+        self.record: records.BundleRecord | None = None
+        self.bundle: bundle.Bundle | None = None
+        # Who hears of each new bundle.
+        self.on_change: list[OnChange] = []
+        # What became of bundles that were not accepted, by sender and
+        # number of their record; kept until asked for.
+        self.refusals: dict[tuple[ids.Incarnation, int], errors.Problem] = {}
+        self._is_partial = False
+        self._first = ids.Offset(0)
+        self._held: list[tuple[ids.Offset, records.Envelope]] = []
+
+    @property
+    def version(self) -> ids.Version:
+        """Return the version in force; 0 if there is none."""
+        if self.record is None:
+            return ids.Version(0)
+        return self.record.version
+
+    def get(self) -> bundle.Bundle | None:
+        """Return the bundle in force."""
+        return self.bundle
+
+    def begin(self, first: ids.Offset) -> None:
+        """Start over at ``first``; the version in force stays."""
+        self._first = first
+        self._is_partial = True
+        self._held.clear()
+
+    def observe(
+        self, offset: ids.Offset, envelope: records.Envelope, now: float
+    ) -> None:
+        """Apply the next record."""
+        body = envelope.body
+        if isinstance(body, records.BundleRestated):
+            self._take_restated(body)
+            return
+        if not isinstance(body, records.BundleRecord):
+            return
+        if self._is_partial:
+            # What came before the first record that we have is not known:
+            # this one may have lost to a record that retention dropped.
+            self._held.append((offset, envelope))
+            return
+        self._take_record(envelope)
+
+    def adopt(self, record: records.BundleRecord) -> bool:
+        """Take over what another daemon says is in force, if newer."""
+        if record.version <= self.version:
+            return False
+        checked = self.check_record(record)
+        if checked.is_error():
+            eliot.log_message('bundle:bad-peer', problem=str(checked.error))
+            return False
+        self._put_in_force(record, checked.ok)
+        return True
+
+    def check_record(
+        self, record: records.BundleRecord
+    ) -> expression.Result[bundle.Bundle, errors.Problem]:
+        """Check signatures and text, whatever the version in force."""
+        wrong = signatures.describe_bad_signature(record, self._keys)
+        if wrong is not None:
+            return expression.Error(_refuse(wrong))
+        checked = bundle.check_bundle(record.text, policies.list_names())
+        if checked.is_error():
+            first = checked.error[0]
+            more = len(checked.error) - 1
+            return expression.Error(_refuse(f'{first} (+{more} more)'))
+        found = checked.ok
+        stated = (found.model.version, found.model.base)
+        if stated != (record.version, record.base):
+            return expression.Error(
+                _refuse('version or base differ between record and text')
+            )
+        return expression.Ok(found)
+
+    def describe_conflict(
+        self, record: records.BundleRecord
+    ) -> errors.Problem | None:
+        """Return why a checked record cannot be next; None if it can."""
+        if record.base != self.version:
+            author = '' if self.record is None else self.record.author
+            return errors.make_problem(
+                errors.Kind.BUNDLE_LOST,
+                version=self.version,
+                author=author,
+                base=record.base,
+            )
+        return None
+
+    def _take_restated(self, restated: records.BundleRestated) -> None:
+        if self._is_partial and restated.as_of < self._first:
+            return
+        self.adopt(restated.bundle)
+        if not self._is_partial:
+            return
+        self._is_partial = False
+        held, self._held = self._held, []
+        for offset, envelope in held:
+            if offset >= restated.as_of:
+                self._take_record(envelope)
+
+    def _take_record(self, envelope: records.Envelope) -> None:
+        record: records.BundleRecord = envelope.body
+        if record == self.record:
+            return
+        problem = self._try_record(record)
+        if problem is None:
+            return
+        eliot.log_message('bundle:refused', problem=str(problem))
+        self.refusals[envelope.sender, envelope.sequence] = problem
+
+    def _try_record(
+        self, record: records.BundleRecord
+    ) -> errors.Problem | None:
+        problem = self.describe_conflict(record)
+        if problem is not None:
+            return problem
+        checked = self.check_record(record)
+        if checked.is_error():
+            return checked.error
+        problem = self._check_change(checked.ok)
+        if problem is not None:
+            return problem
+        self._put_in_force(record, checked.ok)
+        return None
+
+    def _check_change(self, found: bundle.Bundle) -> errors.Problem | None:
+        if self.bundle is None:
+            return None
+        before = self.bundle.ownership.claim_shards
+        if found.ownership.claim_shards == before:
+            return None
+        # Another number of shards gives keys to other owners, who know
+        # nothing of what was granted: a key could be granted twice.
+        return _refuse(f'ownership.claim_shards must stay {before}')
+
+    def _put_in_force(
+        self, record: records.BundleRecord, found: bundle.Bundle
+    ) -> None:
+        self.record = record
+        self.bundle = found
+        eliot.log_message(
+            'bundle:in-force', version=record.version, author=record.author
+        )
+        for listener in self.on_change:
+            listener(found)
+
+
+def _refuse(detail: str) -> errors.Problem:
+    return errors.make_problem(errors.Kind.BUNDLE_REFUSED, detail=detail)
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/claims.py
@@ -0,0 +1,418 @@
+"""Claims between daemons: asking for a key, and answering who asks.
+
+``ClaimDesk`` is the owner's side: it keeps a ``ClaimTable`` for each claims
+shard that this daemon owns and is the shard's ``owners.Role``.
+``ClaimClient`` is the entry daemon's side: it finds the owner, asks until it
+gets a word that it can rely on, and tells the owner what became of the key.
+"""
+
+import collections.abc
+import dataclasses
+import typing as ty
+
+import anyio
+import anyio.abc
+import eliot
+
+from apricotlanding import bundle
+from apricotlanding import clocks
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import supervisor
+from apricotlanding import wire
+from apricotlandingd import answers
+from apricotlandingd import claimtable
+from apricotlandingd import leases
+from apricotlandingd import owners
+from apricotlandingd import peerlink
+from apricotlandingd import peers
+from apricotlandingd import shardview
+
+__all__ = ['ClaimClient', 'ClaimDesk']
+
+CALL_TIMEOUT = 1.0
+# Seconds for which a claim is tried before its caller is told to come back.
+CLAIM_PATIENCE = 5.0
+RETRY_DELAY = 0.1
+RETRY_AFTER = 2.0
+# Seconds that a new owner waits for the daemons' reports.
+REPORT_WAIT = 1.5
+# Claims in one part of a report.
+REPORT_PART = 2000
+DROP_INTERVAL = 10.0
+# Allowance for clocks, times this, past the moment of serving; see
+# ``claimtable``.
+LINE_SKEWS = 3
+# Seconds between attempts to tell an owner what became of a key.
+_END_DELAY = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Desk:
+    # What this daemon keeps for one shard that it owns.
+    right: leases.Right
+    table: claimtable.ClaimTable
+    reported: set[ids.Host]
+    changed: anyio.Event
+
+
+@ty.final
+class ClaimDesk:
+    """The owner's side of claims; a role of ``owners``."""
+
+    def __init__(self, others: peers.Peers) -> None:
+        """Start without a shard."""
+        self._peers = others
+        self._desks: dict[ids.Shard, _Desk] = {}
+        # Tables handed to us by owners that stop, by the epoch that ends.
+        self._handed: dict[
+            tuple[ids.Shard, ids.Epoch], list[wire.ClaimReport]
+        ] = {}
+        self.find_bundle: collections.abc.Callable[
+            [], bundle.Bundle | None
+        ] = lambda: None
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Serve until cancelled: waits for reports, drops old claims."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                await anyio.sleep(DROP_INTERVAL)
+                wall = clocks.read_wall()
+                for desk in self._desks.values():
+                    desk.table.drop_expired(wall)
+
+    def count_claims(self) -> int:
+        """Return how many claims this daemon keeps as owner."""
+        return sum(len(desk.table) for desk in self._desks.values())
+
+    # The role.
+
+    def begin(
+        self, shard: ids.Shard, right: leases.Right, is_first: bool
+    ) -> None:
+        """Open a table for a shard."""
+        config = self.find_bundle()
+        assert config is not None
+        limits = config.limits
+        before = ids.Epoch(right.epoch - 1)
+        handed = self._handed.pop((shard, before), None)
+        is_whole = handed is not None and handed[-1].is_last
+        wall = clocks.read_wall()
+        line: float | None = wall + LINE_SKEWS * limits.clock_skew_s
+        if is_first or is_whole:
+            line = None
+        table = claimtable.ClaimTable(
+            right.epoch, limits.claim_window_s, limits.clock_skew_s, line
+        )
+        for report in handed or []:
+            table.add_report(report, wall)
+        self._desks[shard] = _Desk(right, table, set(), anyio.Event())
+        if not table.has_reports:
+            assert self._group is not None
+            self._group.start_soon(self._end_report_wait, shard, table)
+
+    def end(self, shard: ids.Shard) -> None:
+        """Forget a shard's table."""
+        self._desks.pop(shard, None)
+
+    async def hand_over(
+        self, shard: ids.Shard, successor: peerlink.Connection
+    ) -> None:
+        """Give the whole table to the successor; raises PeerLost."""
+        desk = self._desks.get(shard)
+        if desk is None or not desk.table.has_reports:
+            return
+        for report in _cut_report(
+            shard, desk.table.epoch, desk.table.list_claims(), True
+        ):
+            await successor.call(report, owners.HAND_OVER_TIMEOUT)
+
+    # Calls.
+
+    async def answer_claim(
+        self, request: wire.ClaimRequest, sender: ids.Incarnation
+    ) -> wire.ClaimReply:
+        """Grant a key, or say why not."""
+        while True:
+            desk = self._desks.get(request.shard)
+            if desk is None or not desk.right.is_valid(
+                clocks.read_monotonic()
+            ):
+                return _NOT_OWNER
+            if self._is_clock_off():
+                return wire.ClaimReply(
+                    wire.ClaimVerdict.CLOCK_OFF, desk.table.epoch
+                )
+            reply = desk.table.decide(request, sender, clocks.read_wall())
+            if reply is not None:
+                break
+            with anyio.move_on_after(REPORT_WAIT):
+                await desk.changed.wait()
+        if not desk.right.is_valid(clocks.read_monotonic()):
+            # The process was stopped between the first check and here. The
+            # claim stays in a table that nobody will serve from again.
+            return _NOT_OWNER
+        return reply
+
+    def answer_end(
+        self, message: wire.ClaimEnd, sender: ids.Incarnation
+    ) -> wire.Ack | wire.Failed:
+        """Note what became of a key."""
+        desk = self._desks.get(message.shard)
+        if desk is None:
+            return wire.Failed('', 'not the owner')
+        desk.table.end(message, sender)
+        return wire.Ack()
+
+    def answer_report(
+        self, report: wire.ClaimReport, sender: ids.Incarnation
+    ) -> wire.Ack | wire.Failed:
+        """Take a daemon's claims, or a predecessor's table."""
+        if report.is_handover:
+            place = (report.shard, report.epoch)
+            self._handed.setdefault(place, []).append(report)
+            return wire.Ack()
+        desk = self._desks.get(report.shard)
+        if desk is None or desk.table.epoch != report.epoch:
+            return wire.Failed('', 'not the owner in this epoch')
+        desk.table.add_report(report, clocks.read_wall())
+        if report.is_last:
+            desk.reported.add(ids.parse_host(sender))
+            if self._peers.list_live() <= desk.reported:
+                self._open_desk(desk)
+        return wire.Ack()
+
+    def answer_query(
+        self, query: wire.ClaimQuery, sender: ids.Incarnation
+    ) -> wire.ClaimReply:
+        """Say what is known of a key, without granting it."""
+        desk = self._desks.get(query.shard)
+        if desk is None:
+            return _NOT_OWNER
+        epoch = desk.table.epoch
+        claim = desk.table.find(query.organisation, query.key)
+        if claim is None:
+            issued = ids.read_issue_time(query.key)
+            line = desk.table.line
+            if line is not None and (issued is None or issued <= line):
+                return wire.ClaimReply(wire.ClaimVerdict.UNKNOWN, epoch)
+            return wire.ClaimReply(wire.ClaimVerdict.GRANTED, epoch)
+        verdict = _QUERY_VERDICTS[claim.state]
+        return wire.ClaimReply(verdict, epoch, claim.holder)
+
+    def _is_clock_off(self) -> bool:
+        config = self.find_bundle()
+        assert config is not None
+        offset = self._peers.find_clock_offset()
+        return abs(offset) > config.limits.clock_skew_s
+
+    async def _end_report_wait(
+        self, shard: ids.Shard, table: claimtable.ClaimTable
+    ) -> None:
+        await anyio.sleep(REPORT_WAIT)
+        desk = self._desks.get(shard)
+        if desk is not None and desk.table is table:
+            self._open_desk(desk)
+
+    def _open_desk(self, desk: _Desk) -> None:
+        desk.table.has_reports = True
+        desk.changed.set()
+
+
+_NOT_OWNER: ty.Final = wire.ClaimReply(
+    wire.ClaimVerdict.NOT_OWNER, ids.Epoch(0)
+)
+# For a query GRANTED says that the key is free.
+_QUERY_VERDICTS: ty.Final = {
+    wire.ClaimState.HELD: wire.ClaimVerdict.HELD,
+    wire.ClaimState.FINISHED: wire.ClaimVerdict.FINISHED,
+    wire.ClaimState.RELEASED: wire.ClaimVerdict.GRANTED,
+    wire.ClaimState.UNKNOWN: wire.ClaimVerdict.UNKNOWN,
+}
+
+
+@ty.final
+class ClaimClient:
+    """The entry daemon's side of claims."""
+
+    def __init__(
+        self,
+        incarnation: ids.Incarnation,
+        view: shardview.ShardView,
+        others: peers.Peers,
+        desk: ClaimDesk,
+        store: answers.AnswerStore,
+    ) -> None:
+        """Prepare; ``run`` reports to new owners."""
+        self._incarnation = incarnation
+        self._view = view
+        self._peers = others
+        self._desk = desk
+        self._store = store
+        self._group: anyio.abc.TaskGroup | None = None
+        # Epochs of shards whose owner has our report, or is getting it.
+        self._reported: dict[ids.Shard, ids.Epoch] = {}
+
+    async def run(self) -> None:
+        """Tell owners what became of keys, until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    async def claim(
+        self, request: wire.ClaimRequest, deadline_at: float
+    ) -> wire.ClaimReply:
+        """Ask the owner for a key; raises Refused (NO_OWNER).
+
+        The caller may be told ``not-run`` then: only this daemon can send
+        a key that was granted to it, and it will not.
+        """
+        give_up_at = min(deadline_at, clocks.read_monotonic() + CLAIM_PATIENCE)
+        while True:
+            reply = await self._ask(request)
+            if reply is not None:
+                return reply
+            if clocks.read_monotonic() + RETRY_DELAY > give_up_at:
+                break
+            await anyio.sleep(RETRY_DELAY)
+        raise errors.Refused(
+            errors.make_problem(errors.Kind.NO_OWNER, RETRY_AFTER)
+        )
+
+    async def query(self, query: wire.ClaimQuery) -> wire.ClaimReply | None:
+        """Ask the owner what it knows of a key; None if it is away."""
+        entry = self._find_owner(query.shard)
+        if entry is None:
+            return None
+        if entry.owner == self._incarnation:
+            return self._desk.answer_query(query, self._incarnation)
+        reply = await self._call(entry.owner, query)
+        return reply if isinstance(reply, wire.ClaimReply) else None
+
+    def end(self, kept: answers.Kept, state: wire.ClaimState) -> None:
+        """Tell the owner what became of a key, in the background."""
+        kept.state = state
+        assert self._group is not None
+        self._group.start_soon(
+            supervisor.run_guarded, self._tell_end, kept, state
+        )
+
+    def report_to(self, shard: ids.Shard) -> None:
+        """Report what we hold of a shard if it has a new owner."""
+        entry = self._view.get(shard)
+        if entry is None or not entry.is_serving:
+            return
+        if self._reported.get(shard) == entry.epoch:
+            return
+        self._reported[shard] = entry.epoch
+        assert self._group is not None
+        self._group.start_soon(
+            supervisor.run_guarded, self._report, shard, entry
+        )
+
+    async def _report(
+        self, shard: ids.Shard, entry: shardview.ShardEntry
+    ) -> None:
+        held = self._store.list_claims(shard, self._incarnation)
+        for part in _cut_report(shard, entry.epoch, held, False):
+            while not await self._send_part(entry, part):
+                if self._view.get(shard) is not entry:
+                    return
+                await anyio.sleep(RETRY_DELAY)
+
+    async def _send_part(
+        self, entry: shardview.ShardEntry, part: wire.ClaimReport
+    ) -> bool:
+        if entry.owner == self._incarnation:
+            reply: object = self._desk.answer_report(part, entry.owner)
+        else:
+            reply = await self._call(entry.owner, part)
+        return isinstance(reply, wire.Ack)
+
+    async def release_missing(self, attach: wire.Attach) -> None:
+        """Release a claim of ours that we have no request for.
+
+        The owner granted it after we had given up asking. Nothing is here
+        that was not settled with the owner, so the request was not run.
+        """
+        await self._send_end(
+            wire.ClaimEnd(
+                attach.shard,
+                attach.organisation,
+                attach.key,
+                wire.ClaimState.RELEASED,
+                attach.ticket,
+            )
+        )
+
+    async def _tell_end(
+        self, kept: answers.Kept, state: wire.ClaimState
+    ) -> None:
+        assert kept.shard is not None
+        message = wire.ClaimEnd(
+            kept.shard, kept.organisation, kept.key, state, kept.ticket
+        )
+        while not await self._send_end(message):
+            await anyio.sleep(_END_DELAY)
+        kept.is_settled = True
+        if state is wire.ClaimState.RELEASED:
+            # Until here a retry through this daemon found the answer
+            # "not-run"; from here on it may claim the key again.
+            self._store.drop(kept)
+        else:
+            self._store.drop_oldest()
+
+    async def _send_end(self, message: wire.ClaimEnd) -> bool:
+        entry = self._find_owner(message.shard)
+        if entry is None:
+            return False
+        if entry.owner == self._incarnation:
+            reply: object = self._desk.answer_end(message, entry.owner)
+        else:
+            reply = await self._call(entry.owner, message)
+        return isinstance(reply, wire.Ack)
+
+    async def _ask(self, request: wire.ClaimRequest) -> wire.ClaimReply | None:
+        entry = self._find_owner(request.shard)
+        if entry is None:
+            return None
+        reply: object
+        if entry.owner == self._incarnation:
+            reply = await self._desk.answer_claim(request, self._incarnation)
+        else:
+            reply = await self._call(entry.owner, request)
+        if not isinstance(reply, wire.ClaimReply):
+            return None
+        if reply.verdict is wire.ClaimVerdict.NOT_OWNER:
+            return None
+        return reply
+
+    async def _call(self, owner: ids.Incarnation, message: object) -> object:
+        connection = self._peers.find(owner)
+        if connection is None:
+            return None
+        try:
+            return await connection.call(message, CALL_TIMEOUT)
+        except peerlink.PeerLost as error:
+            eliot.log_message('claim:peer-lost', error=str(error))
+            return None
+
+    def _find_owner(self, shard: ids.Shard) -> shardview.ShardEntry | None:
+        entry = self._view.get(shard)
+        if entry is None or not entry.is_serving:
+            return None
+        return entry
+
+
+def _cut_report(
+    shard: ids.Shard,
+    epoch: ids.Epoch,
+    claims: list[wire.HeldClaim],
+    is_handover: bool,
+) -> collections.abc.Iterator[wire.ClaimReport]:
+    for start in range(0, max(len(claims), 1), REPORT_PART):
+        part = claims[start : start + REPORT_PART]
+        is_last = start + REPORT_PART >= len(claims)
+        yield wire.ClaimReport(shard, epoch, part, is_last, is_handover)
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/claimtable.py
@@ -0,0 +1,232 @@
+"""The claims of one shard, as its owner keeps them.
+
+A claim ties an idempotency key to the one daemon that may run it. The table
+is in memory only. An owner that takes over from one that died learns what it
+can from the daemons' reports and answers *unknown* for every other key that
+the owner before it may have granted:
+
+* keys issued (their UUIDv7 time) before the *line* may have been granted by
+  an earlier owner. The line is the moment when this owner begins to serve
+  plus three times the clock allowance: earlier owners granted until that
+  moment, each may have run ahead by one allowance, each takes keys that are
+  ahead of its clock by another, and this owner's clock may be behind by a
+  third. So the line holds whatever the callers' clocks say.
+* keys issued after it cannot have been granted by an earlier owner.
+
+An owner that received the whole table from the one before it has no line.
+"""
+
+import dataclasses
+import typing as ty
+
+from apricotlanding import ids
+from apricotlanding import wire
+
+__all__ = ['Claim', 'ClaimTable']
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class Claim:
+    """Who may run a key, and what became of it."""
+
+    digest: bytes
+    holder: ids.Incarnation
+    state: wire.ClaimState
+    # The holder's attempt.
+    ticket: str
+    # Wall clock time after which the key is refused as expired, so that
+    # the claim can be dropped.
+    expires: float
+
+
+Place = tuple[ids.Organisation, ids.Key]
+
+
+@ty.final
+class ClaimTable:
+    """Claims by organisation and key."""
+
+    def __init__(
+        self,
+        epoch: ids.Epoch,
+        window_s: float,
+        skew_s: float,
+        line: float | None,
+    ) -> None:
+        """Start without a claim.
+
+        ``line`` is Unix time; None if no earlier owner can have granted a
+        key that this one does not know of.
+        """
+        self.epoch = epoch
+        self.window_s = window_s
+        self.skew_s = skew_s
+        self.line = line
+        # True once every live daemon has reported, or had time to.
+        self.has_reports = line is None
+        self._claims: dict[Place, Claim] = {}
+
+    def __len__(self) -> int:
+        """Return the number of claims."""
+        return len(self._claims)
+
+    def decide(
+        self,
+        request: wire.ClaimRequest,
+        sender: ids.Incarnation,
+        wall: float,
+    ) -> wire.ClaimReply | None:
+        """Answer a claim; None while reports are still awaited.
+
+        The caller has checked that the right to grant is valid, and checks
+        it again after this returns. ``wall`` is Unix time.
+        """
+        place = (request.organisation, request.key)
+        claim = self._claims.get(place)
+        if claim is not None:
+            return self._answer_known(claim, request, sender)
+        issued = ids.read_issue_time(request.key)
+        if issued is not None:
+            refusal = self._check_age(issued, wall)
+            if refusal is not None:
+                return refusal
+        if self._is_before_line(issued, wall):
+            if not self.has_reports:
+                return None
+            return self._reply(wire.ClaimVerdict.UNKNOWN)
+        self._claims[place] = Claim(
+            request.digest,
+            sender,
+            wire.ClaimState.HELD,
+            request.ticket,
+            (wall if issued is None else issued)
+            + self.window_s
+            + 2 * self.skew_s,
+        )
+        return self._reply(wire.ClaimVerdict.GRANTED, sender)
+
+    def find(
+        self, organisation: ids.Organisation, key: ids.Key
+    ) -> Claim | None:
+        """Return what is known of a key."""
+        return self._claims.get((organisation, key))
+
+    def end(self, message: wire.ClaimEnd, sender: ids.Incarnation) -> None:
+        """Note what its holder says became of a key."""
+        place = (message.organisation, message.key)
+        claim = self._claims.get(place)
+        if claim is None or claim.holder != sender:
+            return
+        if claim.ticket != message.ticket:
+            return
+        if claim.state is not wire.ClaimState.HELD:
+            # The first word stands: a release that arrives after the end
+            # would let the key run again.
+            return
+        # A released key stays in the table: before the line, a retry of a
+        # key that is not there would be told that the outcome is unknown,
+        # when we know that it was not run.
+        claim.state = message.state
+
+    def add_report(self, report: wire.ClaimReport, wall: float) -> None:
+        """Add what a daemon holds, or a predecessor's whole table."""
+        for held in report.claims:
+            place = (held.organisation, held.key)
+            if place in self._claims:
+                continue
+            if (
+                held.state is wire.ClaimState.RELEASED
+                and not report.is_handover
+            ):
+                # The owner before us may have granted the key to another
+                # daemon since: only the whole table tells.
+                continue
+            issued = ids.read_issue_time(held.key)
+            base = wall if issued is None else issued
+            self._claims[place] = Claim(
+                held.digest,
+                held.holder,
+                held.state,
+                held.ticket,
+                base + self.window_s + 2 * self.skew_s,
+            )
+
+    def list_claims(self) -> list[wire.HeldClaim]:
+        """Return the whole table, to hand it over."""
+        return [
+            wire.HeldClaim(
+                place[0],
+                place[1],
+                claim.digest,
+                claim.state,
+                claim.holder,
+                claim.ticket,
+            )
+            for place, claim in self._claims.items()
+        ]
+
+    def drop_expired(self, wall: float) -> int:
+        """Drop claims whose keys are refused by now; return how many."""
+        expired = [
+            place
+            for place, claim in self._claims.items()
+            if claim.expires < wall
+        ]
+        for place in expired:
+            del self._claims[place]
+        return len(expired)
+
+    def _answer_known(
+        self,
+        claim: Claim,
+        request: wire.ClaimRequest,
+        sender: ids.Incarnation,
+    ) -> wire.ClaimReply:
+        if claim.digest != request.digest:
+            return self._reply(wire.ClaimVerdict.KEY_REUSED)
+        if claim.state is wire.ClaimState.RELEASED:
+            claim.state = wire.ClaimState.HELD
+            claim.holder = sender
+            claim.ticket = request.ticket
+            return self._reply(wire.ClaimVerdict.GRANTED, sender)
+        if claim.state is wire.ClaimState.UNKNOWN:
+            return self._reply(wire.ClaimVerdict.UNKNOWN, claim.holder)
+        if claim.state is wire.ClaimState.FINISHED:
+            return self._reply(
+                wire.ClaimVerdict.FINISHED, claim.holder, 0.0, claim.ticket
+            )
+        if claim.holder == sender and claim.ticket == request.ticket:
+            # The reply to its claim was lost and it asks again.
+            return self._reply(wire.ClaimVerdict.GRANTED, sender)
+        return self._reply(
+            wire.ClaimVerdict.HELD, claim.holder, 0.0, claim.ticket
+        )
+
+    def _check_age(self, issued: float, wall: float) -> wire.ClaimReply | None:
+        if issued > wall + self.skew_s:
+            return self._reply(
+                wire.ClaimVerdict.KEY_FROM_FUTURE, None, issued - wall
+            )
+        if issued < wall - self.window_s:
+            return self._reply(
+                wire.ClaimVerdict.KEY_EXPIRED, None, self.window_s
+            )
+        return None
+
+    def _is_before_line(self, issued: float | None, wall: float) -> bool:
+        if self.line is None:
+            return False
+        if issued is None:
+            # No issue time: it may be as old as the claim window.
+            return wall < self.line + self.window_s
+        return issued <= self.line
+
+    def _reply(
+        self,
+        verdict: wire.ClaimVerdict,
+        holder: ids.Incarnation | None = None,
+        seconds: float = 0.0,
+        ticket: str = '',
+    ) -> wire.ClaimReply:
+        return wire.ClaimReply(verdict, self.epoch, holder, seconds, ticket)
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/daemon.py
@@ -0,0 +1,423 @@
+"""The daemon: builds its parts, ties them together, and runs the tree.
+
+    daemon
+    ├── callers      HTTP listener, one task a connection
+    ├── operators    HTTP listener
+    ├── log          reads the platform's log
+    ├── peers        accepts; one task a peer that it dials
+    ├── owners       takes, renews and releases shards
+    ├── claim desk   claims of the shards that it owns
+    ├── pool desk    queues of the pools that it owns
+    ├── claims, pools, runs   the requests that it carries
+    ├── reports      tells new owners what it holds
+    ├── fetch        gets newer bundles from peers
+    ├── restate      says again what the log is about to forget
+    └── metrics      sends counts
+
+A graceful stop (SIGTERM, or ``apricotctl drain``) goes in this order: not
+ready for the balancer; shards handed over; after a grace nothing new is
+taken; requests in progress end; exit. A second signal, or the stop limit of
+the settings, ends what is left, each with the answer that is true of it.
+"""
+
+import signal
+import typing as ty
+
+import anyio
+import anyio.abc
+import eliot
+
+from apricotlanding import asgi
+from apricotlanding import clocks
+from apricotlanding import hostlist
+from apricotlanding import ids
+from apricotlanding import metrics
+from apricotlanding import platformlog
+from apricotlanding import supervisor
+from apricotlanding import tracing
+from apricotlanding import wire
+from apricotlandingd import answers
+from apricotlandingd import attaching
+from apricotlandingd import bundlestore
+from apricotlandingd import claims
+from apricotlandingd import entry
+from apricotlandingd import leases
+from apricotlandingd import logfollower
+from apricotlandingd import operatorapi
+from apricotlandingd import owners
+from apricotlandingd import peerlink
+from apricotlandingd import peers
+from apricotlandingd import poolclient
+from apricotlandingd import poolservice
+from apricotlandingd import relay
+from apricotlandingd import restating
+from apricotlandingd import runs
+from apricotlandingd import settings
+from apricotlandingd import shardview
+
+__all__ = ['Daemon']
+
+CALL_TIMEOUT = 1.0
+REPORT_INTERVAL = 0.1
+# Seconds that callers get to read their final answers before the exit.
+LAST_WORDS = 0.5
+
+
+@ty.final
+class Daemon:
+    """One daemon process."""
+
+    def __init__(self, config: settings.Settings) -> None:
+        """Build all parts and bind the HTTP addresses.
+
+        Raises OSError if an address cannot be bound.
+        """
+        self.settings = config
+        self.host = ids.Host(config.host)
+        self.incarnation = ids.make_incarnation(self.host)
+        self.metrics = metrics.Metrics(config.statsd)
+        self.tracer, self._end_traces = tracing.make_tracer(
+            config.host, config.trace_file
+        )
+        self.is_draining = False
+        self._drain_asked = anyio.Event()
+        # A peer with a newer bundle than ours.
+        self._newer_at: ids.Incarnation | None = None
+        self._newer_seen = anyio.Event()
+        self._build_agreement()
+        self._build_requests()
+        self._tie_parts()
+        self._callers = asgi.Server(self.entry, config.callers)
+        self._operators = asgi.Server(self.operators, config.operators_listen)
+
+    def _build_agreement(self) -> None:
+        config = self.settings
+        self.log = platformlog.PlatformLog(config.log)
+        self.follower = logfollower.LogFollower(self.log, self.incarnation)
+        self.view = shardview.ShardView()
+        self.bundles = bundlestore.BundleStore(config.read_operator_keys())
+        self.router = peerlink.Router()
+        self.host_list = hostlist.HostList(config.host_list)
+        self.peers = peers.Peers(
+            self.host,
+            self.incarnation,
+            ids.Domain(config.domain),
+            config.peer_key.encode(),
+            self.host_list,
+            self.router,
+        )
+        self.owners = owners.Owners(
+            self.incarnation,
+            self.follower,
+            self.view,
+            leases.PromiseBook(),
+            self.peers,
+        )
+        self.restater = restating.Restater(
+            config.log_retention_s,
+            self.follower,
+            self.view,
+            self.bundles,
+            self.peers,
+        )
+
+    def _build_requests(self) -> None:
+        config = self.settings
+        self.store = answers.AnswerStore(config.kept_answer_bytes)
+        self.claim_desk = claims.ClaimDesk(self.peers)
+        self.claim_client = claims.ClaimClient(
+            self.incarnation,
+            self.view,
+            self.peers,
+            self.claim_desk,
+            self.store,
+        )
+        self.pool_desk = poolservice.PoolDesk(self.peers, self.metrics)
+        self.pool_client = poolclient.PoolClient(
+            self.incarnation, self.view, self._push, self._call
+        )
+        self.attacher = attaching.Attacher(
+            self.store, self.claim_client, self.peers
+        )
+        self.relay = relay.Relay()
+        self.runs = runs.Runs(
+            self.incarnation,
+            self.store,
+            self.claim_client,
+            self.pool_client,
+            self.attacher,
+            self.relay,
+            self.metrics,
+            self.tracer,
+        )
+        self.entry = entry.Entry(
+            self.runs, self.store, self.tracer, config.open_requests
+        )
+        self.operators = operatorapi.OperatorApi(
+            config.operator_token_sha256,
+            self.bundles,
+            self.follower,
+            self.claim_client,
+            self.peers,
+            self.describe,
+            self.start_drain,
+        )
+
+    def _tie_parts(self) -> None:
+        self.follower.add_observer(self.bundles)
+        self.follower.add_observer(self.view)
+        self.follower.add_observer(self.restater)
+        find = self.bundles.get
+        self.owners.find_bundle = find
+        self.claim_desk.find_bundle = find
+        self.pool_desk.find_bundle = find
+        self.runs.find_bundle = find
+        self.entry.find_bundle = find
+        self.entry.is_ready = self.is_ready
+        self.owners.may_take = self._may_take
+        self.owners.roles = {
+            owners.CLAIMS: self.claim_desk,
+            owners.POOL: self.pool_desk,
+        }
+        self.pool_desk.deliver = self._push
+        self.bundles.on_change.append(self.pool_desk.update_bundle)
+        self.peers.make_ping = self._make_ping
+        self.peers.on_pong = self._take_pong
+        self.peers.on_lost = self._forget_connection
+        self.peers.find_needed = self.owners.find_needed_hosts
+        self._fill_router()
+
+    def _fill_router(self) -> None:
+        router = self.router
+        router.quick |= {
+            wire.Ping: self._answer_ping,
+            wire.PromiseRequest: self.owners.answer_promise,
+            wire.ClaimEnd: self.claim_desk.answer_end,
+            wire.ClaimReport: self.claim_desk.answer_report,
+            wire.ClaimQuery: self.claim_desk.answer_query,
+            wire.Register: self.pool_desk.answer_register,
+            wire.FetchState: self._answer_fetch,
+            wire.Drain: self._answer_drain,
+        }
+        router.slow[wire.ClaimRequest] = self.claim_desk.answer_claim
+        router.streaming[wire.Attach] = self.attacher.serve
+        router.pushes |= {
+            wire.Register: self.pool_desk.take_register,
+            wire.Started: self.pool_desk.take_started,
+            wire.Finished: self.pool_desk.take_finished,
+            wire.Withdraw: self.pool_desk.take_withdraw,
+            wire.Grant: self.pool_client.take_grant,
+            wire.Shed: self.pool_client.take_shed,
+            wire.Withdrawn: self.pool_client.take_withdrawn,
+        }
+
+    # Running.
+
+    async def run(self) -> None:
+        """Run until a graceful stop has ended."""
+        address = self.settings.peers
+        listener = await anyio.create_tcp_listener(
+            local_host=address.host, local_port=address.port
+        )
+        async with supervisor.Supervisor('daemon') as tree:
+            tree.start('log', self.follower.follow)
+            tree.start('peers', lambda: self.peers.run(listener))
+            tree.start('owners', self.owners.run)
+            tree.start('claim desk', self.claim_desk.run)
+            tree.start('pool desk', self.pool_desk.run)
+            tree.start('claims', self.claim_client.run)
+            tree.start('pools', self._run_pools)
+            tree.start('runs', self.runs.run)
+            tree.start('reports', self._report_forever)
+            tree.start('fetch', self._fetch_forever)
+            tree.start('restate', self.restater.run)
+            tree.start('metrics', self.metrics.flush_forever)
+            tree.start('operators', self._operators.serve)
+            tree.start('callers', self._callers.serve)
+            tree.start('signals', self._watch_signals)
+            eliot.log_message('daemon:started', incarnation=self.incarnation)
+            await self._drain_asked.wait()
+            await self._drain()
+        await self._close()
+
+    def is_ready(self) -> bool:
+        """Tell the balancer whether to send callers here."""
+        if self.is_draining or self.bundles.bundle is None:
+            return False
+        return self.view.entries != {}
+
+    def start_drain(self) -> None:
+        """Begin a graceful stop."""
+        self._drain_asked.set()
+
+    def describe(self) -> dict[str, ty.Any]:
+        """Return the daemon's state for operators."""
+        return {
+            'host': self.host,
+            'incarnation': self.incarnation,
+            'draining': self.is_draining,
+            'bundle': self.bundles.version,
+            'log_next': self.follower.next,
+            'clock_offset_s': round(self.peers.find_clock_offset(), 3),
+            'open_requests': self.runs.count(),
+            'claims': self.claim_desk.count_claims(),
+            'peers': sorted(
+                str(item.host) for item in self.peers.list_dialed()
+            ),
+            'shards': {
+                str(shard): {
+                    'epoch': item.epoch,
+                    'owner': ids.parse_host(item.owner),
+                    'serving': item.is_serving,
+                    'successor': None
+                    if item.successor is None
+                    else ids.parse_host(item.successor),
+                }
+                for shard, item in sorted(self.view.entries.items())
+            },
+            'pools': self.pool_desk.describe(),
+            'counts': self.metrics.counts,
+        }
+
+    async def _run_pools(self) -> None:
+        await self.pool_client.run(self._list_pools)
+
+    def _list_pools(self) -> list[ids.Pool]:
+        config = self.bundles.bundle
+        return [] if config is None else list(config.pools)
+
+    async def _report_forever(self) -> None:
+        while True:
+            for shard in list(self.view.entries):
+                kind, _ = owners.parse_shard(shard)
+                if kind == owners.CLAIMS:
+                    self.claim_client.report_to(shard)
+            await logfollower.wait_for_change(self.follower, REPORT_INTERVAL)
+
+    # Stopping.
+
+    async def _watch_signals(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as received:
+            async for _ in received:
+                if not self._drain_asked.is_set():
+                    self.start_drain()
+                    continue
+                eliot.log_message('daemon:second-signal')
+                self.runs.stop_all()
+
+    async def _drain(self) -> None:
+        eliot.log_message('daemon:drain', open=self.runs.count())
+        self.is_draining = True
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._hand_over)
+            await anyio.sleep(self.settings.drain_grace_s)
+            self.entry.is_admitting = False
+            with anyio.move_on_after(self.settings.stop_limit_s) as limit:
+                await self.runs.wait_until_idle()
+            if limit.cancelled_caught:
+                self.runs.stop_all()
+                await self.runs.wait_until_idle()
+        self._callers.stop()
+        self._operators.stop()
+        await anyio.sleep(LAST_WORDS)
+        eliot.log_message('daemon:stopped')
+
+    async def _hand_over(self) -> None:
+        with anyio.move_on_after(self.settings.stop_limit_s):
+            await self.owners.drain()
+
+    async def _close(self) -> None:
+        await self.relay.close()
+        await self.log.close()
+        await self.host_list.close()
+        self._end_traces()
+
+    # Between the parts.
+
+    def _may_take(self) -> bool:
+        config = self.bundles.bundle
+        if self.is_draining or config is None:
+            return False
+        offset = abs(self.peers.find_clock_offset())
+        return offset <= config.limits.clock_skew_s
+
+    def _push(self, receiver: ids.Incarnation, message: object) -> None:
+        if receiver == self.incarnation:
+            self.router.pushes[type(message)](message, self.incarnation)
+            return
+        connection = self.peers.find(receiver)
+        if connection is not None:
+            connection.push(message)
+
+    async def _call(
+        self, receiver: ids.Incarnation, message: object
+    ) -> object:
+        if receiver == self.incarnation:
+            return self.router.quick[type(message)](message, self.incarnation)
+        connection = self.peers.find(receiver)
+        if connection is None:
+            return None
+        try:
+            return await connection.call(message, CALL_TIMEOUT)
+        except peerlink.PeerLost:
+            return None
+
+    def _forget_connection(self, incarnation: ids.Incarnation) -> None:
+        self.pool_client.forget_connection(incarnation)
+        if self.peers.find(incarnation) is None:
+            self.pool_desk.drop_sender(incarnation)
+
+    def _make_ping(self) -> wire.Ping:
+        return wire.Ping(
+            clocks.read_wall(), self.bundles.version, self.follower.next
+        )
+
+    def _answer_ping(
+        self, ping: wire.Ping, sender: ids.Incarnation
+    ) -> wire.Pong:
+        self._catch_up(ping.version, sender)
+        return wire.Pong(
+            clocks.read_wall(),
+            self.bundles.version,
+            self.follower.next,
+            self.is_draining,
+        )
+
+    def _take_pong(
+        self, pong: wire.Pong, connection: peerlink.Connection
+    ) -> None:
+        self._catch_up(pong.version, connection.incarnation)
+
+    def _catch_up(self, version: ids.Version, peer: ids.Incarnation) -> None:
+        # The peer has a newer bundle than we: the log is out for us, or
+        # slow. What was accepted must not wait for that.
+        if version > self.bundles.version:
+            self._newer_at = peer
+            self._newer_seen.set()
+
+    async def _fetch_forever(self) -> None:
+        while True:
+            await self._newer_seen.wait()
+            self._newer_seen = anyio.Event()
+            assert self._newer_at is not None
+            reply = await self._call(
+                self._newer_at, wire.FetchState(self.bundles.version)
+            )
+            if isinstance(reply, wire.StateReply) and reply.bundle:
+                self.bundles.adopt(reply.bundle)
+
+    def _answer_fetch(
+        self, message: wire.FetchState, sender: ids.Incarnation
+    ) -> wire.StateReply:
+        record = self.bundles.record
+        if record is not None and record.version <= message.version:
+            record = None
+        return wire.StateReply(record, self.view.describe())
+
+    def _answer_drain(
+        self, message: wire.Drain, sender: ids.Incarnation
+    ) -> wire.Ack:
+        self.start_drain()
+        return wire.Ack()
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/entry.py
@@ -0,0 +1,286 @@
+"""The callers' listener: ``POST /v1/routes/ROUTE``.
+
+One task serves each connection. It checks the request, lets ``runs`` carry
+it, and writes the answer as it grows. An answer of an engine is a stream of
+JSON lines that ends with a line of ours, so that a caller can tell a whole
+answer from one that was cut; docs/CALLERS.md describes it.
+"""
+
+import collections.abc
+import json
+import math
+import typing as ty
+
+import anyio
+import anyio.abc
+from opentelemetry import trace
+
+from apricotlanding import asgi
+from apricotlanding import bundle
+from apricotlanding import clocks
+from apricotlanding import errors
+from apricotlanding import tracing
+from apricotlandingd import admission
+from apricotlandingd import answers
+from apricotlandingd import runs
+
+__all__ = ['Entry']
+
+ROUTE_PREFIX = '/v1/routes/'
+# Seconds that a caller may take to send its body.
+BODY_TIMEOUT = 30.0
+_JSON = (b'content-type', b'application/json')
+_LINES = (b'content-type', b'application/x-ndjson')
+
+
+@ty.final
+class Entry:
+    """The ASGI application for callers."""
+
+    def __init__(
+        self,
+        all_runs: runs.Runs,
+        store: answers.AnswerStore,
+        tracer: tracing.Tracer,
+        open_requests: int,
+    ) -> None:
+        """Prepare."""
+        self._runs = all_runs
+        self._store = store
+        self._tracer = tracer
+        self._open_requests = open_requests
+        self.find_bundle: collections.abc.Callable[
+            [], bundle.Bundle | None
+        ] = lambda: None
+        # What /readyz tells the balancer.
+        self.is_ready: collections.abc.Callable[[], bool] = lambda: False
+        # False once a graceful stop takes nothing new.
+        self.is_admitting = True
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answer one request."""
+        path: str = scope['path']
+        if path == '/healthz':
+            await asgi.send_json(send, 200, {'alive': True})
+        elif path == '/readyz':
+            is_ready = self.is_ready()
+            await asgi.send_json(
+                send, 200 if is_ready else 503, {'ready': is_ready}
+            )
+        elif not path.startswith(ROUTE_PREFIX):
+            problem = errors.make_problem(
+                errors.Kind.NOT_FOUND, path=path[:128]
+            )
+            await _send_problem(send, problem, None)
+        else:
+            await self._serve_route(scope, receive, send)
+
+    async def _serve_route(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        headers = asgi.read_headers(scope)
+        parent = tracing.read_parent(headers)
+        with self._tracer.start_as_current_span('caller', parent) as span:
+            admitted = await self._admit(scope, headers, receive)
+            if isinstance(admitted, errors.Problem):
+                span.set_attribute('code', admitted.code)
+                await _send_problem(send, admitted, None)
+                return
+            span.set_attribute('key', admitted.head.key)
+            await self._serve_request(admitted, receive, send, span)
+
+    async def _admit(
+        self,
+        scope: asgi.Scope,
+        headers: dict[str, str],
+        receive: asgi.Receive,
+    ) -> admission.Request | errors.Problem:
+        config = self.find_bundle()
+        if config is None:
+            return errors.make_problem(errors.Kind.NO_BUNDLE, 1.0)
+        if scope['method'] != 'POST':
+            return errors.make_problem(errors.Kind.BAD_METHOD)
+        name = scope['path'].removeprefix(ROUTE_PREFIX)
+        checked = admission.check_headers(
+            config, name, headers, len(scope['headers'])
+        )
+        if checked.is_error():
+            return checked.error
+        head = checked.ok
+        if not self.is_admitting:
+            return errors.make_problem(errors.Kind.STOPPING, 0.0)
+        try:
+            with anyio.fail_after(BODY_TIMEOUT):
+                body = await asgi.read_body(receive, head.body_limit)
+        except asgi.BodyTooLarge:
+            return errors.make_problem(
+                errors.Kind.BODY_TOO_LARGE, limit=head.body_limit
+            )
+        except (asgi.Disconnected, TimeoutError):
+            return errors.make_problem(errors.Kind.INCOMPLETE_BODY)
+        found = admission.check_body(config, head, body)
+        return found.error if found.is_error() else found.ok
+
+    async def _serve_request(
+        self,
+        request: admission.Request,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        span: trace.Span,
+    ) -> None:
+        now = clocks.read_monotonic()
+        deadline_at = now + request.head.deadline_s
+        found = self._find_or_start(request, deadline_at, span)
+        if isinstance(found, errors.Problem):
+            await _send_problem(send, found, request)
+            return
+        kept, run = found
+        answer = kept.answer
+        answer.readers += 1
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(_watch_caller, receive, group.cancel_scope)
+                with anyio.move_on_after(
+                    deadline_at - clocks.read_monotonic()
+                ):
+                    await answer.wait_for_first()
+                await _send_answer(send, request, answer)
+                group.cancel_scope.cancel()
+        finally:
+            answer.readers -= 1
+        if run is not None:
+            self._stop_unread(request, run)
+
+    def _find_or_start(
+        self,
+        request: admission.Request,
+        deadline_at: float,
+        span: trace.Span,
+    ) -> tuple[answers.Kept, runs.Run | None] | errors.Problem:
+        head = request.head
+        kept = self._store.find(head.organisation, head.key)
+        if kept is not None:
+            if kept.digest != request.digest:
+                return errors.make_problem(errors.Kind.KEY_REUSED)
+            return kept, None
+        if self._runs.count() >= self._open_requests:
+            victim = self._runs.find_lowest_waiting(head.tier)
+            full = errors.make_problem(errors.Kind.MEMORY_FULL, 1.0)
+            if victim is None:
+                return full
+            # Somebody of a lower tier goes in its place.
+            victim.stop(full, full)
+        parent = trace.set_span_in_context(span)
+        run = self._runs.start(request, deadline_at, parent)
+        return run.kept, run
+
+    def _stop_unread(self, request: admission.Request, run: runs.Run) -> None:
+        # The caller of an idempotent request that still waits is gone, and
+        # nobody else reads: it would cost a prefill that is thrown away.
+        # At-most-once work goes on, for the caller that comes back.
+        if request.is_at_most_once or run.kept.answer.readers > 0:
+            return
+        if run.state is runs.RunState.WAITING:
+            gone = errors.make_problem(errors.Kind.CALLER_GONE)
+            run.stop(gone, gone)
+
+
+async def _watch_caller(
+    receive: asgi.Receive, scope: anyio.CancelScope
+) -> None:
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            scope.cancel()
+            return
+
+
+async def _send_answer(
+    send: asgi.Send, request: admission.Request, answer: answers.Answer
+) -> None:
+    if not answer.chunks:
+        # Nothing before the deadline, or an end without a chunk.
+        problem = answer.end.problem if answer.end else None
+        if problem is None:
+            problem = errors.make_problem(errors.Kind.DEADLINE_RUNNING)
+        await _send_problem(send, problem, request)
+        return
+    if request.kind is bundle.RunnerKind.SERVICE:
+        await _send_whole(send, request, answer)
+        return
+    await asgi.start_answer(
+        send, 200, [_LINES, *_name_request(request, answer)]
+    )
+    async for part in answer.iterate():
+        await asgi.send_part(send, part)
+    assert answer.end is not None
+    last = _describe_end(request, answer.end.problem)
+    await asgi.send_part(send, _encode_line(last), is_last=True)
+
+
+async def _send_whole(
+    send: asgi.Send, request: admission.Request, answer: answers.Answer
+) -> None:
+    body = b''.join([part async for part in answer.iterate()])
+    headers = [
+        _JSON,
+        (b'content-length', str(len(body)).encode()),
+        *_name_request(request, answer),
+    ]
+    await asgi.start_answer(send, answer.status, headers)
+    await asgi.send_part(send, body, is_last=True)
+
+
+def _name_request(
+    request: admission.Request, answer: answers.Answer
+) -> asgi.HeaderList:
+    found = [(b'apricot-request', request.head.key.encode())]
+    if answer.runner is not None:
+        found.append((b'apricot-runner', answer.runner.encode()))
+    return found
+
+
+def _describe_end(
+    request: admission.Request, problem: errors.Problem | None
+) -> dict[str, ty.Any]:
+    line: dict[str, ty.Any] = {
+        'apricot-request': request.head.key,
+        'outcome': 'complete' if problem is None else problem.outcome.value,
+    }
+    if problem is not None:
+        line |= {
+            'code': problem.code,
+            'error': problem.text,
+            'remedy': problem.remedy,
+        }
+    return line
+
+
+def _encode_line(value: dict[str, ty.Any]) -> bytes:
+    return json.dumps(value).encode() + b'\n'
+
+
+async def _send_problem(
+    send: asgi.Send,
+    problem: errors.Problem,
+    request: admission.Request | None,
+) -> None:
+    value: dict[str, ty.Any] = {
+        'outcome': problem.outcome.value,
+        'code': problem.code,
+        'error': problem.text,
+        'remedy': problem.remedy,
+    }
+    headers: asgi.HeaderList = []
+    if request is not None:
+        value['apricot-request'] = request.head.key
+        headers.append((b'apricot-request', request.head.key.encode()))
+    if problem.retry_after_s is not None:
+        seconds = math.ceil(problem.retry_after_s)
+        headers.append((b'retry-after', str(seconds).encode()))
+        value['retry_after_s'] = problem.retry_after_s
+    if problem.status == 401:
+        headers.append((b'www-authenticate', b'Bearer'))
+    await asgi.send_json(send, problem.status, value, headers)
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/leases.py
@@ -0,0 +1,183 @@
+"""An owner's right to grant, and the promises that it rests on.
+
+An owner may grant while *every* incarnation that could replace it after a
+short wait has promised not to do so yet. A promise is asked for at time
+``sent_at`` and given for ``lease_s``: the owner counts it from the sending,
+the successor from the giving, so the owner's count always ends first. Only
+differences on one host's clock are compared.
+
+The right also ends ``outage_limit_s`` after the owner or its successor last
+proved that it had read the log to its end. Anyone may take a shard over by a
+record; an owner and a successor that hear only each other would never see
+it, and the taker waits that long for them.
+
+An owner without a successor needs nobody's promise: then nobody can replace
+it after a short wait either. See docs/design/ownership.md for the argument.
+"""
+
+import dataclasses
+import typing as ty
+
+from apricotlanding import ids
+from apricotlanding import wire
+from apricotlandingd import shardview
+
+__all__ = ['PromiseBook', 'Right', 'find_serve_time']
+
+# Clocks of two hosts run at rates that differ by less than this.
+DRIFT = 1.01
+# Seconds added to each wait for another's lease.
+MARGIN = 0.05
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class Right:
+    """One owner's right to grant in one epoch."""
+
+    epoch: ids.Epoch
+    lease_s: float
+    outage_limit_s: float
+    # Ends of the promises that were given, by who gave them.
+    promised: dict[ids.Incarnation, float] = dataclasses.field(
+        default_factory=dict
+    )
+    # Whose promises are needed. While a change of successor is on its way
+    # to the log, both the old and the new one: the record may have landed
+    # although its reply was lost, and then the new one could take over
+    # while the old one goes on promising.
+    required: set[ids.Incarnation] = dataclasses.field(default_factory=set)
+    # Since when each was asked, for patience with those that are new.
+    asked_since: dict[ids.Incarnation, float] = dataclasses.field(
+        default_factory=dict
+    )
+    # Latest proof, by any of the pair, of having read the log to its end.
+    confirmed_at: float = float('-inf')
+    # Set when the owner lets go, for good.
+    is_given_up: bool = False
+
+    def require(self, giver: ids.Incarnation, now: float) -> None:
+        """Need this one's promises as well from now on."""
+        self.required.add(giver)
+        self.asked_since.setdefault(giver, now)
+
+    def require_only(self, giver: ids.Incarnation | None) -> None:
+        """Need nobody else's promises any more."""
+        self.required &= {giver}
+        for other in list(self.asked_since):
+            if other != giver:
+                del self.asked_since[other]
+
+    def find_promise_end(self, giver: ids.Incarnation) -> float:
+        """Return when this one's promise ends.
+
+        One that has not promised yet counts as if it had when it was first
+        asked: it gets that long before another is named in its place.
+        """
+        since = self.asked_since.get(giver, float('-inf'))
+        end = self.promised.get(giver, float('-inf'))
+        return max(end, since + self.lease_s)
+
+    def note_promise(
+        self,
+        giver: ids.Incarnation,
+        sent_at: float,
+        lease_s: float,
+        confirmed_age_s: float | None,
+    ) -> None:
+        """Count a promise from the time when it was asked for."""
+        end = sent_at + lease_s
+        self.promised[giver] = max(end, self.promised.get(giver, end))
+        if confirmed_age_s is not None:
+            self.note_confirmed(sent_at - confirmed_age_s)
+
+    def note_confirmed(self, at: float) -> None:
+        """Count a proof of having read the log to its end."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def find_end(self) -> float:
+        """Return when the right ends if nothing more is heard."""
+        if self.is_given_up:
+            return float('-inf')
+        end = self.confirmed_at + self.outage_limit_s
+        for giver in self.required:
+            end = min(end, self.promised.get(giver, float('-inf')))
+        return end
+
+    def is_valid(self, now: float) -> bool:
+        """Tell whether the owner may grant now."""
+        return now < self.find_end()
+
+
+@ty.final
+class PromiseBook:
+    """What this incarnation promised to owners.
+
+    A restarted process is a new incarnation and nobody's successor, so a
+    promise that it forgot harms nothing.
+    """
+
+    def __init__(self) -> None:
+        """Start without a promise."""
+        self._ends: dict[tuple[ids.Shard, ids.Epoch], float] = {}
+        # When each owner last asked.
+        self.asked_at: dict[tuple[ids.Shard, ids.Epoch], float] = {}
+        # Shards for which a Take of ours is on its way to the log.
+        self.taking: set[ids.Shard] = set()
+
+    def give(
+        self,
+        request: wire.PromiseRequest,
+        view: shardview.ShardView,
+        now: float,
+    ) -> list[tuple[ids.Shard, ids.Epoch]]:
+        """Return the shards for which the promise is given."""
+        given: list[tuple[ids.Shard, ids.Epoch]] = []
+        for shard, epoch in request.shards:
+            entry = view.get(shard)
+            if entry is not None and entry.epoch > epoch:
+                continue
+            if shard in self.taking:
+                # Our Take may stand already: a promise now could be
+                # broken before its lease ends.
+                continue
+            place = (shard, epoch)
+            end = now + request.lease_s * DRIFT
+            self._ends[place] = max(end, self._ends.get(place, end))
+            self.asked_at[place] = now
+            given.append(place)
+        return given
+
+    def find_end(self, shard: ids.Shard, epoch: ids.Epoch) -> float:
+        """Return when the last promise ends; -inf if there was none."""
+        return self._ends.get((shard, epoch), float('-inf'))
+
+    def forget_before(self, shard: ids.Shard, epoch: ids.Epoch) -> None:
+        """Drop what was promised to owners of earlier epochs."""
+        for place in list(self._ends):
+            if place[0] == shard and place[1] < epoch:
+                del self._ends[place]
+                self.asked_at.pop(place, None)
+
+
+def find_serve_time(
+    shard: ids.Shard,
+    entry: shardview.ShardEntry,
+    me: ids.Incarnation,
+    book: PromiseBook,
+) -> float:
+    """Return when the owner of the current epoch may begin to serve.
+
+    For each replaced owner that may still grant: its own successor waits
+    for the end of its last promise, anyone else for the time after which
+    an owner that cannot read the log stops.
+    """
+    at = entry.taken_at
+    for item in entry.unsettled:
+        past = item.past
+        if past.successor == me:
+            end = book.find_end(shard, past.epoch) + MARGIN
+        else:
+            end = item.replaced_at + past.outage_limit_s * DRIFT + MARGIN
+        at = max(at, end)
+    return at
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/logfollower.py
@@ -0,0 +1,194 @@
+"""Reads the platform's log in order, and appends to it without doubt.
+
+Every observer sees every valid record once, in the order of the offsets.
+
+``append`` returns only when it is certain: the offset where the record
+stands, or None if it never will. An append whose reply was lost may take
+effect at any later time, so its sender appends a ``Mark`` with the next
+number and reads on. Once any record with a higher number of its own has been
+read, the doubtful one either was read before it or is void for every reader.
+
+An own record that was read back also proves that the log had been read to
+its end at the time when the record was *sent*: ``confirmed_at``. A read
+alone proves nothing, since nothing promises that it is fresh.
+"""
+
+import collections.abc
+import dataclasses
+import typing as ty
+
+import anyio
+import eliot
+
+from apricotlanding import clocks
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import platformlog
+from apricotlanding import records
+
+__all__ = ['LogFollower', 'Observer']
+
+# Seconds before an append in doubt is settled by another one.
+SETTLE_INTERVAL = 0.5
+_FIRST_DELAY = 0.05
+_LAST_DELAY = 1.0
+
+
+class Observer(ty.Protocol):
+    """Something that follows the log."""
+
+    def begin(self, first: ids.Offset) -> None:
+        """Start over: the records before ``first`` are not to be had."""
+
+    def observe(
+        self, offset: ids.Offset, envelope: records.Envelope, now: float
+    ) -> None:
+        """Take note of the next record."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Pending:
+    sequence: int
+    sent_at: float
+    is_settled: anyio.Event
+    offset: ids.Offset | None = None
+
+
+@ty.final
+class LogFollower:
+    """One daemon's reader and writer of the log."""
+
+    def __init__(
+        self, log: platformlog.PlatformLog, incarnation: ids.Incarnation
+    ) -> None:
+        """Prepare to read from the beginning."""
+        self._log = log
+        self._incarnation = incarnation
+        self._observers: list[Observer] = []
+        self._highest: dict[ids.Incarnation, int] = {}
+        self._sequence = 0
+        self._lock = anyio.Lock()
+        self._pending: list[_Pending] = []
+        self.next = ids.Offset(0)
+        # Sending time of the latest own record that was read back.
+        self.confirmed_at: float | None = None
+        # When the log last answered a read.
+        self.read_at: float | None = None
+        # Set once everything that the log had has been read.
+        self.has_caught_up = anyio.Event()
+        self.changed = anyio.Event()
+
+    def add_observer(self, observer: Observer) -> None:
+        """Tell an observer of every record from now on."""
+        self._observers.append(observer)
+
+    async def follow(self) -> None:
+        """Read until cancelled."""
+        delay = _FIRST_DELAY
+        while True:
+            try:
+                batch = await self._log.read(self.next)
+            except platformlog.LogUnreachable:
+                await anyio.sleep(delay)
+                delay = min(2 * delay, _LAST_DELAY)
+                continue
+            delay = _FIRST_DELAY
+            self._take_batch(batch, clocks.read_monotonic())
+
+    async def append(self, body: object) -> ids.Offset | None:
+        """Append a record; return where it stands, or None if it is void.
+
+        Waits as long as it takes to be certain; during an outage of the
+        log that is until the outage ends.
+        """
+        async with self._lock:
+            pending = await self._send(body)
+            while True:
+                with anyio.move_on_after(SETTLE_INTERVAL):
+                    await pending.is_settled.wait()
+                if pending.is_settled.is_set():
+                    return pending.offset
+                await self._send(records.Mark())
+
+    async def confirm(self) -> None:
+        """Prove that the log has been read to its end."""
+        await self.append(records.Mark())
+
+    async def _send(self, body: object) -> _Pending:
+        self._sequence += 1
+        envelope = records.Envelope(self._incarnation, self._sequence, body)
+        pending = _Pending(
+            self._sequence, clocks.read_monotonic(), anyio.Event()
+        )
+        self._pending.append(pending)
+        try:
+            await self._log.append(envelope.encode())
+        except platformlog.LogUnreachable:
+            # Nothing was sent, but the number is used up: only reading a
+            # later one settles it, which costs nothing extra.
+            await anyio.sleep(SETTLE_INTERVAL)
+        except platformlog.LogDoubt:
+            eliot.log_message('log:doubt', sequence=pending.sequence)
+            await anyio.sleep(_FIRST_DELAY)
+        return pending
+
+    def _take_batch(self, batch: platformlog.LogBatch, now: float) -> None:
+        self.read_at = now
+        if batch.first > self.next:
+            # Retention dropped records that were never read: what was
+            # known of the owners may be wrong now, and is forgotten.
+            eliot.log_message('log:gap', next=self.next, first=batch.first)
+            for observer in self._observers:
+                observer.begin(batch.first)
+        for offset, data in batch.records:
+            self._take_record(offset, data, now)
+        self.next = max(self.next, batch.next)
+        if batch.is_end:
+            self.has_caught_up.set()
+        if batch.records:
+            changed, self.changed = self.changed, anyio.Event()
+            changed.set()
+
+    def _take_record(
+        self, offset: ids.Offset, data: bytes, now: float
+    ) -> None:
+        try:
+            envelope = records.decode_envelope(data)
+        except errors.Refused as error:
+            # One bad record must not stop every daemon for good.
+            eliot.log_message(
+                'log:unreadable', offset=offset, problem=str(error)
+            )
+            return
+        highest = self._highest.get(envelope.sender, 0)
+        if envelope.sequence <= highest:
+            # It arrived behind a higher number: its sender gave it up.
+            return
+        self._highest[envelope.sender] = envelope.sequence
+        for observer in self._observers:
+            observer.observe(offset, envelope, now)
+        if envelope.sender == self._incarnation:
+            self._settle(offset, envelope.sequence)
+
+    def _settle(self, offset: ids.Offset, sequence: int) -> None:
+        open_still: list[_Pending] = []
+        for pending in self._pending:
+            if pending.sequence > sequence:
+                open_still.append(pending)
+                continue
+            if pending.sequence == sequence:
+                pending.offset = offset
+                self.confirmed_at = pending.sent_at
+            pending.is_settled.set()
+        self._pending = open_still
+
+
+async def wait_for_change(follower: LogFollower, seconds: float) -> None:
+    """Wait until the log brings a record, at most so many seconds."""
+    with anyio.move_on_after(seconds):
+        await follower.changed.wait()
+
+
+Appender = collections.abc.Callable[
+    [object], collections.abc.Awaitable[ids.Offset | None]
+]
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/operatorapi.py
@@ -0,0 +1,231 @@
+"""The operators' listener, for ``apricotctl``.
+
+A caller shows a token whose SHA-256 stands in the settings. Paths:
+
+* ``GET /v1/status``: this daemon, its shards, queues and peers.
+* ``GET /v1/bundle``: the bundle in force.
+* ``POST /v1/bundle``: submit a signed bundle; answers once the log has
+  decided, or says that it is doubtful.
+* ``GET /v1/explain?organisation=O&key=K``: what became of a request.
+* ``POST /v1/drain?host=H``: stop a daemon gracefully.
+"""
+
+import collections.abc
+import hmac
+import math
+import typing as ty
+import urllib.parse
+import uuid
+
+import anyio
+
+from apricotlanding import asgi
+from apricotlanding import bundle
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import submissions
+from apricotlanding import wire
+from apricotlandingd import admission
+from apricotlandingd import bundlestore
+from apricotlandingd import claims
+from apricotlandingd import logfollower
+from apricotlandingd import peerlink
+from apricotlandingd import peers
+
+__all__ = ['OperatorApi']
+
+# How long a submission may wait for the log, in seconds.
+SUBMIT_TIMEOUT = 10.0
+BUNDLE_LIMIT = 16 * 1024 * 1024
+_CALL_TIMEOUT = 2.0
+
+Query = dict[str, str]
+Handler = collections.abc.Callable[
+    ['OperatorApi', Query, bytes], collections.abc.Awaitable[ty.Any]
+]
+
+_handlers: dict[tuple[str, str], Handler] = {}
+
+
+def _handle(
+    method: str, path: str
+) -> collections.abc.Callable[[Handler], Handler]:
+    def file_handler(handler: Handler) -> Handler:
+        _handlers[method, path] = handler
+        return handler
+
+    return file_handler
+
+
+@ty.final
+class OperatorApi:
+    """The ASGI application for operators."""
+
+    def __init__(
+        self,
+        token_digests: list[str],
+        store: bundlestore.BundleStore,
+        follower: logfollower.LogFollower,
+        claim_client: claims.ClaimClient,
+        others: peers.Peers,
+        describe: collections.abc.Callable[[], dict[str, ty.Any]],
+        drain: collections.abc.Callable[[], None],
+    ) -> None:
+        """Prepare."""
+        self._digests = token_digests
+        self.store = store
+        self.follower = follower
+        self.claims = claim_client
+        self.peers = others
+        self.describe = describe
+        self.drain = drain
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answer one request."""
+        try:
+            self._check_token(asgi.read_headers(scope))
+            handler = _handlers.get((scope['method'], scope['path']))
+            if handler is None:
+                raise _refuse(errors.Kind.NOT_FOUND, path=scope['path'])
+            body = await asgi.read_body(receive, BUNDLE_LIMIT)
+            pairs = urllib.parse.parse_qsl(scope['query_string'].decode())
+            value = await handler(self, dict(pairs), body)
+        except errors.Refused as error:
+            await _send_problem(send, error.problem)
+            return
+        except asgi.BodyTooLarge:
+            problem = errors.make_problem(
+                errors.Kind.BODY_TOO_LARGE, limit=BUNDLE_LIMIT
+            )
+            await _send_problem(send, problem)
+            return
+        await asgi.send_json(send, 200, value)
+
+    def _check_token(self, headers: dict[str, str]) -> None:
+        value = headers.get('authorization', '')
+        digest = bundle.hash_token(value.removeprefix('Bearer ').strip())
+        for known in self._digests:
+            if hmac.compare_digest(known, digest):
+                return
+        raise _refuse(errors.Kind.NOT_AN_OPERATOR)
+
+
+@_handle('GET', '/v1/status')
+async def show_status(api: OperatorApi, query: Query, body: bytes) -> ty.Any:
+    """Return this daemon's state."""
+    return api.describe()
+
+
+@_handle('GET', '/v1/bundle')
+async def show_bundle(api: OperatorApi, query: Query, body: bytes) -> ty.Any:
+    """Return the bundle in force."""
+    record = api.store.record
+    if record is None:
+        raise _refuse(errors.Kind.NO_BUNDLE)
+    return {
+        'version': record.version,
+        'base': record.base,
+        'author': record.author,
+        'approver': record.approver,
+        'text': record.text.decode(),
+    }
+
+
+@_handle('POST', '/v1/bundle')
+async def submit_bundle(api: OperatorApi, query: Query, body: bytes) -> ty.Any:
+    """Append a bundle and say what the log decided."""
+    record = submissions.read_submission(body)
+    checked = api.store.check_record(record)
+    if checked.is_error():
+        raise errors.Refused(checked.error)
+    conflict = api.store.describe_conflict(record)
+    if conflict is not None and record != api.store.record:
+        raise errors.Refused(conflict)
+    with anyio.move_on_after(SUBMIT_TIMEOUT) as limit:
+        await api.follower.append(record)
+    if limit.cancelled_caught:
+        raise _refuse(errors.Kind.BUNDLE_DOUBTFUL)
+    if api.store.record == record:
+        return {'version': record.version, 'in_force': True}
+    if api.store.version >= record.version:
+        current = api.store.record
+        assert current is not None
+        if current.base >= record.version:
+            # It was in force and has been replaced since.
+            return {'version': record.version, 'in_force': False}
+    lost = api.store.describe_conflict(record)
+    if lost is not None:
+        raise errors.Refused(lost)
+    raise _refuse(
+        errors.Kind.BUNDLE_REFUSED, detail='the log voided the record'
+    )
+
+
+@_handle('GET', '/v1/explain')
+async def explain_key(api: OperatorApi, query: Query, body: bytes) -> ty.Any:
+    """Return what the claim owner knows of a key."""
+    config = api.store.bundle
+    if config is None:
+        raise _refuse(errors.Kind.NO_BUNDLE)
+    try:
+        key = ids.Key(str(uuid.UUID(query.get('key', ''))))
+    except ValueError:
+        raise _refuse(errors.Kind.BAD_KEY) from None
+    organisation = ids.Organisation(query.get('organisation', ''))
+    shards = config.ownership.claim_shards
+    shard = admission.find_shard(organisation, key, shards)
+    reply = await api.claims.query(wire.ClaimQuery(shard, organisation, key))
+    if reply is None:
+        raise _refuse(errors.Kind.NO_OWNER)
+    return {
+        'shard': shard,
+        'epoch': reply.epoch,
+        'state': _STATES[reply.verdict],
+        'holder': reply.holder,
+    }
+
+
+@_handle('POST', '/v1/drain')
+async def drain_host(api: OperatorApi, query: Query, body: bytes) -> ty.Any:
+    """Stop a daemon gracefully: this one or another."""
+    host = ids.Host(query.get('host', str(api.peers.host)))
+    if host == api.peers.host:
+        api.drain()
+        return {'draining': host}
+    for connection in api.peers.list_dialed():
+        if connection.host != host:
+            continue
+        try:
+            await connection.call(wire.Drain(), _CALL_TIMEOUT)
+        except peerlink.PeerLost:
+            break
+        return {'draining': host}
+    raise _refuse(errors.Kind.PEER_LOST, host=host)
+
+
+_STATES: ty.Final = {
+    wire.ClaimVerdict.GRANTED: 'not run; the key is free',
+    wire.ClaimVerdict.HELD: 'held: waits or runs at the holder',
+    wire.ClaimVerdict.FINISHED: 'finished: ran to its end',
+    wire.ClaimVerdict.UNKNOWN: 'unknown: may have run',
+    wire.ClaimVerdict.NOT_OWNER: 'the owner of the shard is changing',
+}
+
+
+def _refuse(kind: errors.Kind, **fields: object) -> errors.Refused:
+    return errors.Refused(errors.make_problem(kind, None, **fields))
+
+
+async def _send_problem(send: asgi.Send, problem: errors.Problem) -> None:
+    headers: asgi.HeaderList = []
+    if problem.retry_after_s is not None:
+        seconds = math.ceil(problem.retry_after_s)
+        headers.append((b'retry-after', str(seconds).encode()))
+    value = {
+        'code': problem.code,
+        'error': problem.text,
+        'remedy': problem.remedy,
+    }
+    await asgi.send_json(send, problem.status, value, headers)
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/peerlink.py
@@ -0,0 +1,274 @@
+"""One connection between two daemons.
+
+Either side may *call* (one message, one reply), *stream* (one message, many
+parts, one reply) or *push* (one message, no reply). A frame is the array
+``[kind, number, message]``; the number ties replies and parts to the call
+that they answer, never their order.
+
+Handlers are looked up in a ``Router`` by the type of the message. A quick
+handler answers on the spot; a slow one gets a task of its own, so that it
+does not hold up the messages behind it.
+"""
+
+import collections.abc
+import contextlib
+import enum
+import math
+import typing as ty
+
+import anyio
+import anyio.abc
+import anyio.streams.memory
+import eliot
+
+from apricotlanding import codec
+from apricotlanding import errors
+from apricotlanding import frames
+from apricotlanding import handshake
+from apricotlanding import ids
+from apricotlanding import wire
+
+__all__ = ['Connection', 'PeerLost', 'Router']
+
+Quick = collections.abc.Callable[[ty.Any, ids.Incarnation], object]
+Slow = collections.abc.Callable[
+    [ty.Any, ids.Incarnation], collections.abc.Awaitable[object]
+]
+Part = wire.Chunk | wire.AttachEnd
+Streaming = collections.abc.Callable[
+    [ty.Any, ids.Incarnation], collections.abc.AsyncIterator[Part]
+]
+Push = collections.abc.Callable[[ty.Any, ids.Incarnation], None]
+
+
+class _FrameKind(enum.IntEnum):
+    PUSH = 0
+    CALL = 1
+    REPLY = 2
+    PART = 3
+    END = 4
+
+
+_Sender = anyio.streams.memory.MemoryObjectSendStream[
+    tuple[_FrameKind, ty.Any]
+]
+_Receiver = anyio.streams.memory.MemoryObjectReceiveStream[
+    tuple[_FrameKind, ty.Any]
+]
+
+
+@ty.final
+class PeerLost(Exception):
+    """The connection broke, or the peer did not answer in time.
+
+    A call that fails like this may have had its effect.
+    """
+
+
+@ty.final
+class Router:
+    """Handlers by message type."""
+
+    def __init__(self) -> None:
+        """Start without any handler."""
+        self.quick: dict[type, Quick] = {}
+        self.slow: dict[type, Slow] = {}
+        self.streaming: dict[type, Streaming] = {}
+        self.pushes: dict[type, Push] = {}
+
+
+@ty.final
+class Connection:
+    """A connection whose two sides have proved who they are."""
+
+    def __init__(
+        self,
+        stream: frames.FrameStream,
+        greeting: handshake.Greeting,
+        router: Router,
+    ) -> None:
+        """Wrap a stream after its handshake; ``run`` serves it."""
+        self.host = greeting.host
+        self.incarnation = greeting.incarnation
+        self.domain = greeting.domain
+        self.stream = stream
+        self.is_open = True
+        # What the latest heartbeat said.
+        self.is_draining = False
+        # The peer's wall clock less ours, in seconds, as well as the
+        # latest heartbeat could tell.
+        self.clock_offset_s = 0.0
+        self._router = router
+        self._number = 0
+        self._replies: dict[int, _Sender] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Read until the connection ends; raises what ended it."""
+        try:
+            async with anyio.create_task_group() as group:
+                self._group = group
+                await self._read()
+        finally:
+            self.is_open = False
+            for reply in self._replies.values():
+                reply.close()
+            with contextlib.suppress(OSError, anyio.BrokenResourceError):
+                await self.stream.close()
+
+    async def call(self, message: object, timeout: float) -> ty.Any:
+        """Return the reply; PeerLost after ``timeout`` seconds."""
+        number, parts = self._open_call()
+        try:
+            with anyio.fail_after(timeout):
+                await self._send(_FrameKind.CALL, number, message)
+                _, reply = await parts.receive()
+        except (
+            TimeoutError,
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+        ) as error:
+            raise PeerLost(f'{self.host}: {error!r}') from error
+        finally:
+            self._replies.pop(number).close()
+            parts.close()
+        return reply
+
+    async def iterate(
+        self, message: object, timeout: float
+    ) -> collections.abc.AsyncIterator[ty.Any]:
+        """Yield the parts of a streamed answer and its end.
+
+        ``timeout`` bounds the wait for each part, in seconds. Raises
+        PeerLost.
+        """
+        number, parts = self._open_call(math.inf)
+        try:
+            await self._send(_FrameKind.CALL, number, message)
+            while True:
+                with anyio.fail_after(timeout):
+                    kind, part = await parts.receive()
+                yield part
+                if kind is not _FrameKind.PART:
+                    return
+        except (
+            TimeoutError,
+            OSError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+        ) as error:
+            raise PeerLost(f'{self.host}: {error!r}') from error
+        finally:
+            self._replies.pop(number).close()
+            parts.close()
+
+    def push(self, message: object) -> None:
+        """Send a message that is not answered; dropped if that fails."""
+        if self._group is None or not self.is_open:
+            return
+        self._group.start_soon(self._send_quietly, message)
+
+    def _open_call(self, buffer: float = 1) -> tuple[int, _Receiver]:
+        if not self.is_open:
+            raise PeerLost(f'{self.host}: the connection is closed')
+        self._number += 1
+        sender, receiver = anyio.create_memory_object_stream[
+            tuple[_FrameKind, ty.Any]
+        ](buffer)
+        self._replies[self._number] = sender
+        return self._number, receiver
+
+    async def _send(
+        self, kind: _FrameKind, number: int, message: object
+    ) -> None:
+        packed = wire.registry.pack(message)
+        await self.stream.send([int(kind), number, packed])
+
+    async def _send_quietly(self, message: object) -> None:
+        with contextlib.suppress(
+            OSError, anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            await self._send(_FrameKind.PUSH, 0, message)
+
+    async def _read(self) -> None:
+        assert self._group is not None
+        while True:
+            frame = await self.stream.receive()
+            kind, number, message = _read_frame(frame)
+            if kind in (_FrameKind.REPLY, _FrameKind.PART, _FrameKind.END):
+                self._deliver(kind, number, message)
+                continue
+            if kind is _FrameKind.PUSH:
+                self._take_push(message)
+                continue
+            quick = self._router.quick.get(type(message))
+            if quick is not None:
+                reply = quick(message, self.incarnation)
+                await self._send(_FrameKind.REPLY, number, reply)
+                continue
+            self._group.start_soon(self._answer, number, message)
+
+    def _deliver(self, kind: _FrameKind, number: int, message: object) -> None:
+        reply = self._replies.get(number)
+        if reply is None:
+            # Its caller gave up; a late answer goes to nobody else.
+            return
+        with contextlib.suppress(
+            anyio.WouldBlock,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            reply.send_nowait((kind, message))
+
+    def _take_push(self, message: object) -> None:
+        handler = self._router.pushes.get(type(message))
+        if handler is None:
+            raise codec.refuse_frame(f'unexpected {type(message).__name__}')
+        handler(message, self.incarnation)
+
+    async def _answer(self, number: int, message: object) -> None:
+        try:
+            streaming = self._router.streaming.get(type(message))
+            if streaming is not None:
+                await self._answer_parts(number, streaming, message)
+                return
+            slow = self._router.slow.get(type(message))
+            if slow is None:
+                name = type(message).__name__
+                raise codec.refuse_frame(f'unexpected {name}')
+            reply = await slow(message, self.incarnation)
+        except errors.Refused as error:
+            reply = wire.Failed(error.problem.code, error.problem.text)
+        except (OSError, anyio.BrokenResourceError):
+            return
+        except Exception as error:
+            eliot.write_traceback()
+            reply = wire.Failed('', repr(error))
+        with contextlib.suppress(
+            OSError, anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            await self._send(_FrameKind.REPLY, number, reply)
+
+    async def _answer_parts(
+        self, number: int, streaming: Streaming, message: object
+    ) -> None:
+        async for part in streaming(message, self.incarnation):
+            is_end = isinstance(part, wire.AttachEnd)
+            kind = _FrameKind.END if is_end else _FrameKind.PART
+            await self._send(kind, number, part)
+
+
+def _read_frame(frame: ty.Any) -> tuple[_FrameKind, int, object]:
+    if not isinstance(frame, list) or len(frame) != 3:
+        raise codec.refuse_frame('not [kind, number, message]')
+    kind, number, packed = frame
+    if not isinstance(number, int):
+        raise codec.refuse_frame('the number is not a number')
+    try:
+        found = _FrameKind(kind)
+    except ValueError:
+        raise codec.refuse_frame(f'unknown kind {kind!r}') from None
+    return found, number, wire.registry.unpack(packed)
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/peers.py
@@ -0,0 +1,270 @@
+"""The other daemons: who they are, and the connections to them.
+
+The platform's host list says where daemons listen. One task dials each host
+that this daemon needs, greets it, sends heartbeats, and dials again when the
+connection breaks; another task serves each connection that is accepted.
+
+With few hosts every daemon dials every other. Above ``MESH_LIMIT`` hosts it
+dials only owners and successors of shards and its own ``NEIGHBOURS``, chosen
+by rendezvous hashing, so that the number of connections follows the number of
+shards and not that of hosts.
+"""
+
+import collections.abc
+import contextlib
+import statistics
+import typing as ty
+
+import anyio
+import anyio.abc
+import eliot
+import xxhash
+
+from apricotlanding import clocks
+from apricotlanding import errors
+from apricotlanding import frames
+from apricotlanding import handshake
+from apricotlanding import hostlist
+from apricotlanding import ids
+from apricotlanding import supervisor
+from apricotlanding import wire
+from apricotlandingd import peerlink
+
+__all__ = ['Peers', 'rank_hosts']
+
+HEARTBEAT_INTERVAL = 0.5
+HEARTBEAT_TIMEOUT = 2.0
+HOST_LIST_INTERVAL = 0.5
+MESH_LIMIT = 16
+NEIGHBOURS = 6
+_FIRST_DELAY = 0.1
+_LAST_DELAY = 1.0
+
+
+def rank_hosts(
+    name: str, hosts: collections.abc.Iterable[ids.Host]
+) -> list[ids.Host]:
+    """Return hosts in rendezvous order for a name.
+
+    Each name has its own order, and a host that comes or goes changes the
+    place of no other two.
+    """
+
+    def weigh(host: ids.Host) -> int:
+        return xxhash.xxh3_64_intdigest(f'{name}\0{host}'.encode())
+
+    return sorted(hosts, key=weigh, reverse=True)
+
+
+@ty.final
+class Peers:
+    """Connections to and from other daemons."""
+
+    def __init__(
+        self,
+        host: ids.Host,
+        incarnation: ids.Incarnation,
+        domain: ids.Domain,
+        key: bytes,
+        hosts: hostlist.HostList,
+        router: peerlink.Router,
+    ) -> None:
+        """Prepare; ``run`` does the work."""
+        self.host = host
+        self.incarnation = incarnation
+        self.domain = domain
+        self.router = router
+        # The list as it was last read, by name; entry hosts and runners.
+        self.listed: dict[str, hostlist.HostEntry] = {}
+        # Hosts that roles need a connection to; see ``MESH_LIMIT``.
+        self.find_needed: collections.abc.Callable[[], set[ids.Host]] = (
+            lambda: set()
+        )
+        self.make_ping: collections.abc.Callable[[], wire.Ping] | None = None
+        self.on_pong: collections.abc.Callable[
+            [wire.Pong, peerlink.Connection], None
+        ] = lambda pong, connection: None
+        # Hears of every connection that broke.
+        self.on_lost: collections.abc.Callable[[ids.Incarnation], None] = (
+            lambda incarnation: None
+        )
+        self._key = key
+        self._hosts = hosts
+        self._dialed: dict[ids.Incarnation, peerlink.Connection] = {}
+        self._accepted: dict[ids.Incarnation, peerlink.Connection] = {}
+
+    def find(self, incarnation: ids.Incarnation) -> peerlink.Connection | None:
+        """Return an open connection; None if there is none."""
+        found = self._dialed.get(incarnation)
+        if found is None:
+            found = self._accepted.get(incarnation)
+        return found
+
+    def list_dialed(self) -> list[peerlink.Connection]:
+        """Return the connections that this daemon keeps heartbeats on."""
+        return list(self._dialed.values())
+
+    def list_live(self) -> set[ids.Host]:
+        """Return entry hosts that the platform says are live, and us."""
+        found = {
+            ids.Host(name)
+            for name, entry in self.listed.items()
+            if entry.peers is not None
+            and entry.state is hostlist.HostState.LIVE
+        }
+        found.add(self.host)
+        return found
+
+    def find_clock_offset(self) -> float:
+        """Return how far our wall clock is behind most peers', in seconds.
+
+        The median over us and all peers: one host that is off does not
+        move it.
+        """
+        offsets = [item.clock_offset_s for item in self._dialed.values()]
+        return statistics.median([0.0, *offsets])
+
+    async def run(self, listener: anyio.abc.Listener[ty.Any]) -> None:
+        """Accept, follow the host list and dial, until cancelled."""
+        async with supervisor.Supervisor('peers') as tree:
+            tree.start('listener', lambda: listener.serve(self._accept))
+            await self._follow_hosts(tree)
+
+    async def _follow_hosts(self, tree: supervisor.Supervisor) -> None:
+        while True:
+            try:
+                entries = await self._hosts.read()
+            except hostlist.HostListUnreachable:
+                # The last list stands: hosts are not gone because the
+                # list is.
+                entries = list(self.listed.values())
+            self.listed = {entry.name: entry for entry in entries}
+            self._adjust_dialers(tree)
+            await anyio.sleep(HOST_LIST_INTERVAL)
+
+    def _adjust_dialers(self, tree: supervisor.Supervisor) -> None:
+        wanted = self._choose_hosts()
+        running = {
+            ids.Host(name.removeprefix('dial-'))
+            for name in tree.list_children()
+            if name.startswith('dial-')
+        }
+        for host in wanted - running:
+            tree.start(f'dial-{host}', self._make_dialer(host))
+        for host in running - wanted:
+            tree.stop(f'dial-{host}')
+
+    def _choose_hosts(self) -> set[ids.Host]:
+        known = {
+            ids.Host(name)
+            for name, entry in self.listed.items()
+            if entry.peers is not None
+        }
+        known.discard(self.host)
+        if len(known) <= MESH_LIMIT:
+            return known
+        near = rank_hosts(str(self.host), known)[:NEIGHBOURS]
+        return known & (self.find_needed() | set(near))
+
+    def _make_dialer(
+        self, host: ids.Host
+    ) -> collections.abc.Callable[[], collections.abc.Awaitable[None]]:
+        return lambda: self._dial_forever(host)
+
+    async def _dial_forever(self, host: ids.Host) -> None:
+        delay = _FIRST_DELAY
+        while True:
+            entry = self.listed.get(str(host))
+            started = clocks.read_monotonic()
+            if entry is not None and entry.peers is not None:
+                try:
+                    await self._dial(entry)
+                except (
+                    OSError,
+                    TimeoutError,
+                    errors.Refused,
+                    peerlink.PeerLost,
+                    anyio.EndOfStream,
+                    anyio.IncompleteRead,
+                    anyio.BrokenResourceError,
+                    anyio.ClosedResourceError,
+                    ExceptionGroup,
+                ) as error:
+                    self._log_end(host, error)
+            if clocks.read_monotonic() - started > _LAST_DELAY:
+                delay = _FIRST_DELAY
+            await anyio.sleep(delay)
+            delay = min(2 * delay, _LAST_DELAY)
+
+    async def _dial(self, entry: hostlist.HostEntry) -> None:
+        assert entry.peers is not None
+        with anyio.fail_after(handshake.HANDSHAKE_TIMEOUT):
+            raw = await anyio.connect_tcp(entry.peers.host, entry.peers.port)
+        async with raw:
+            stream = frames.FrameStream(raw)
+            greeting = await handshake.greet_acceptor(
+                stream, self._make_greeting(), self._key
+            )
+            connection = peerlink.Connection(stream, greeting, self.router)
+            self._dialed[connection.incarnation] = connection
+            try:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(connection.run)
+                    await self._send_heartbeats(connection)
+            finally:
+                if self._dialed.get(connection.incarnation) is connection:
+                    del self._dialed[connection.incarnation]
+                self.on_lost(connection.incarnation)
+
+    async def _send_heartbeats(self, connection: peerlink.Connection) -> None:
+        assert self.make_ping is not None
+        while True:
+            sent_at = clocks.read_monotonic()
+            pong = await connection.call(self.make_ping(), HEARTBEAT_TIMEOUT)
+            if isinstance(pong, wire.Pong):
+                half = (clocks.read_monotonic() - sent_at) / 2
+                connection.clock_offset_s = (
+                    pong.wall + half - clocks.read_wall()
+                )
+                connection.is_draining = pong.is_draining
+                self.on_pong(pong, connection)
+            await anyio.sleep(HEARTBEAT_INTERVAL)
+
+    async def _accept(self, raw: anyio.abc.ByteStream) -> None:
+        async with raw:
+            stream = frames.FrameStream(raw)
+            try:
+                greeting = await handshake.greet_dialer(
+                    stream, self._make_greeting(), self._key
+                )
+                connection = peerlink.Connection(stream, greeting, self.router)
+                self._accepted[connection.incarnation] = connection
+                try:
+                    await connection.run()
+                finally:
+                    mine = self._accepted.get(connection.incarnation)
+                    if mine is connection:
+                        del self._accepted[connection.incarnation]
+                    self.on_lost(connection.incarnation)
+            except (
+                OSError,
+                TimeoutError,
+                errors.Refused,
+                anyio.EndOfStream,
+                anyio.IncompleteRead,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+                ExceptionGroup,
+            ) as error:
+                self._log_end(None, error)
+
+    def _make_greeting(self) -> handshake.Greeting:
+        return handshake.make_greeting(
+            self.host, self.incarnation, self.domain
+        )
+
+    def _log_end(self, host: ids.Host | None, error: Exception) -> None:
+        with contextlib.suppress(IndexError):
+            while isinstance(error, ExceptionGroup):
+                error = error.exceptions[0]
+        eliot.log_message('peer:end', peer=host, error=repr(error))
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/poolclient.py
@@ -0,0 +1,295 @@
+"""Asking a pool's scheduler for a runner: the entry daemon's side.
+
+Every request that waits or runs has a ``Ticket``. Tickets are registered
+with the owner of their pool, and again with each new owner; while there is
+none they simply wait here, until their deadline or until this daemon stops.
+"""
+
+import collections.abc
+import dataclasses
+import typing as ty
+
+import anyio
+
+from apricotlanding import clocks
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import supervisor
+from apricotlanding import wire
+from apricotlandingd import owners
+from apricotlandingd import shardview
+
+__all__ = ['PoolClient', 'Ticket']
+
+# Pushes a message to an incarnation; lost if there is no connection.
+Send = collections.abc.Callable[[ids.Incarnation, object], None]
+# Calls an incarnation; None if it does not answer.
+Call = collections.abc.Callable[
+    [ids.Incarnation, object], collections.abc.Awaitable[object]
+]
+
+# Longest time between two looks at who owns a pool, in seconds.
+REGISTER_INTERVAL = 0.1
+
+
+@ty.final
+@dataclasses.dataclass(slots=True, eq=False)
+class Ticket:
+    """One request at its pool's scheduler."""
+
+    name: str
+    pool: ids.Pool
+    organisation: ids.Organisation
+    tier: ids.Tier
+    weight: float
+    prompt_tokens: int
+    output_tokens: int
+    prefix: list[int]
+    # Monotonic times.
+    arrived_at: float
+    deadline_at: float
+    avoid: list[ids.Runner] = dataclasses.field(default_factory=list)
+    # Where it runs now.
+    runner: ids.Runner | None = None
+    # The latest grant and when it expires.
+    granted: ids.Runner | None = None
+    granted_until: float = 0.0
+    # Set when the scheduler or this daemon has given it up.
+    problem: errors.Problem | None = None
+    news: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def wake(self) -> None:
+        """Let the request's task look again."""
+        self.news.set()
+
+    def describe(self, now: float) -> wire.Registration:
+        """Return what the scheduler has to know."""
+        return wire.Registration(
+            ticket=self.name,
+            organisation=self.organisation,
+            tier=self.tier,
+            weight=self.weight,
+            prompt_tokens=self.prompt_tokens,
+            output_tokens=self.output_tokens,
+            deadline_s=max(self.deadline_at - now, 0.0),
+            prefix=self.prefix,
+            avoid=self.avoid,
+            runner=self.runner,
+            waited_s=now - self.arrived_at,
+        )
+
+
+@ty.final
+class PoolClient:
+    """This daemon's tickets, by pool."""
+
+    def __init__(
+        self,
+        incarnation: ids.Incarnation,
+        view: shardview.ShardView,
+        send: Send,
+        call: Call,
+    ) -> None:
+        """Start without a ticket; ``run`` registers them."""
+        self._incarnation = incarnation
+        self._view = view
+        self._send = send
+        self._call = call
+        self._tickets: dict[ids.Pool, dict[str, Ticket]] = {}
+        # Owner's epoch that has all our tickets of a pool, by owner.
+        self._registered: dict[
+            ids.Pool, tuple[ids.Incarnation, ids.Epoch]
+        ] = {}
+
+    async def run(
+        self,
+        list_pools: collections.abc.Callable[
+            [], collections.abc.Iterable[ids.Pool]
+        ],
+    ) -> None:
+        """Keep all tickets registered with the owners of their pools."""
+        async with anyio.create_task_group() as group:
+            busy: set[ids.Pool] = set()
+            while True:
+                for pool in list_pools():
+                    if pool in busy or self._is_registered(pool):
+                        continue
+                    busy.add(pool)
+                    group.start_soon(
+                        supervisor.run_guarded, self._register_all, pool, busy
+                    )
+                await anyio.sleep(REGISTER_INTERVAL)
+
+    def list_tickets(self) -> list[Ticket]:
+        """Return all tickets."""
+        return [
+            ticket
+            for tickets in self._tickets.values()
+            for ticket in tickets.values()
+        ]
+
+    def add(self, ticket: Ticket) -> None:
+        """Register a ticket; ``wait`` for its grant."""
+        tickets = self._tickets.setdefault(ticket.pool, {})
+        tickets[ticket.name] = ticket
+        self._register(ticket)
+
+    async def wait(self, ticket: Ticket) -> ids.Runner:
+        """Wait for a runner; raises Refused when it is given up."""
+        while True:
+            now = clocks.read_monotonic()
+            if ticket.problem is not None:
+                raise errors.Refused(ticket.problem)
+            if now >= ticket.deadline_at:
+                raise errors.Refused(
+                    errors.make_problem(errors.Kind.DEADLINE_PASSED)
+                )
+            if ticket.granted is not None:
+                if now < ticket.granted_until:
+                    return self._use_grant(ticket)
+                ticket.granted = None
+                self._register(ticket)
+            ticket.news = anyio.Event()
+            with anyio.move_on_after(ticket.deadline_at - now):
+                await ticket.news.wait()
+
+    def release(self, ticket: Ticket, message: wire.Finished) -> None:
+        """Say that the ticket's request has left its runner."""
+        ticket.runner = None
+        self._tell(ticket.pool, message)
+
+    def wait_again(self, ticket: Ticket) -> None:
+        """Register a ticket whose runner did not take it."""
+        self._register(ticket)
+
+    def remove(self, ticket: Ticket) -> None:
+        """Forget a ticket."""
+        tickets = self._tickets.get(ticket.pool, {})
+        if tickets.pop(ticket.name, None) is not None:
+            self._tell(ticket.pool, wire.Withdraw(ticket.pool, ticket.name))
+
+    def fail_waiting(self, problem: errors.Problem) -> None:
+        """Give up all tickets that have no runner yet."""
+        for ticket in self.list_tickets():
+            if ticket.runner is None:
+                ticket.problem = problem
+                ticket.wake()
+
+    def forget_connection(self, owner: ids.Incarnation) -> None:
+        """Register again with an owner whose connection was lost.
+
+        What was on its way may not have arrived.
+        """
+        for pool, place in list(self._registered.items()):
+            if place[0] == owner:
+                del self._registered[pool]
+
+    # Messages from schedulers.
+
+    def take_grant(self, message: wire.Grant, sender: ids.Incarnation) -> None:
+        """A runner has room for a ticket."""
+        ticket = self._find(message.pool, message.ticket)
+        if ticket is None:
+            return
+        if ticket.runner is not None:
+            # A second grant, from a scheduler that did not know the first.
+            self._tell_started(ticket)
+            return
+        ticket.granted = message.runner
+        ticket.granted_until = clocks.read_monotonic() + message.expires_s
+        ticket.wake()
+
+    def take_shed(self, message: wire.Shed, sender: ids.Incarnation) -> None:
+        """A ticket is given up."""
+        ticket = self._find(message.pool, message.ticket)
+        if ticket is None or ticket.runner is not None:
+            return
+        entry = self._find_owner(message.pool)
+        if entry is None or entry.epoch != message.epoch:
+            # From a scheduler that was replaced: the new one decides.
+            return
+        ticket.problem = errors.make_problem(
+            errors.Kind.SHED, message.retry_after_s
+        )
+        ticket.wake()
+
+    def take_withdrawn(
+        self, message: wire.Withdrawn, sender: ids.Incarnation
+    ) -> None:
+        """A grant is void if it was not used."""
+        ticket = self._find(message.pool, message.ticket)
+        if ticket is None:
+            return
+        if ticket.runner is not None:
+            self._tell_started(ticket)
+            return
+        ticket.granted = None
+        self._register(ticket)
+
+    def _use_grant(self, ticket: Ticket) -> ids.Runner:
+        assert ticket.granted is not None
+        ticket.runner = ticket.granted
+        ticket.granted = None
+        self._tell_started(ticket)
+        return ticket.runner
+
+    def _tell_started(self, ticket: Ticket) -> None:
+        assert ticket.runner is not None
+        self._tell(
+            ticket.pool,
+            wire.Started(ticket.pool, ticket.name, ticket.runner),
+        )
+
+    def _is_registered(self, pool: ids.Pool) -> bool:
+        entry = self._find_owner(pool)
+        if entry is None:
+            return True
+        return self._registered.get(pool) == (entry.owner, entry.epoch)
+
+    async def _register_all(self, pool: ids.Pool, busy: set[ids.Pool]) -> None:
+        try:
+            entry = self._find_owner(pool)
+            if entry is None:
+                return
+            tickets = dict(self._tickets.get(pool, {}))
+            now = clocks.read_monotonic()
+            message = wire.Register(
+                pool,
+                entry.epoch,
+                [ticket.describe(now) for ticket in tickets.values()],
+            )
+            reply = await self._call(entry.owner, message)
+            if not isinstance(reply, wire.Ack):
+                return
+            self._registered[pool] = (entry.owner, entry.epoch)
+            # What was added while the call was under way.
+            for name, ticket in self._tickets.get(pool, {}).items():
+                if name not in tickets:
+                    self._register(ticket)
+        finally:
+            busy.discard(pool)
+
+    def _register(self, ticket: Ticket) -> None:
+        entry = self._find_owner(ticket.pool)
+        if entry is None or not self._is_registered(ticket.pool):
+            # It goes with all the others, as soon as there is an owner.
+            return
+        now = clocks.read_monotonic()
+        message = wire.Register(
+            ticket.pool, entry.epoch, [ticket.describe(now)]
+        )
+        self._send(entry.owner, message)
+
+    def _tell(self, pool: ids.Pool, message: object) -> None:
+        entry = self._find_owner(pool)
+        if entry is not None:
+            self._send(entry.owner, message)
+
+    def _find(self, pool: ids.Pool, name: str) -> Ticket | None:
+        return self._tickets.get(pool, {}).get(name)
+
+    def _find_owner(self, pool: ids.Pool) -> shardview.ShardEntry | None:
+        entry = self._view.get(owners.make_pool_shard(pool))
+        if entry is None or not entry.is_serving:
+            return None
+        return entry
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -0,0 +1,498 @@
+"""The queue of one pool: who is next, where, and who is given up.
+
+Tiers are strict: nothing of a lower tier is granted while something of a
+higher tier could be, and nothing of a higher tier is shed while something of
+a lower tier waits. Within a tier organisations share by weight: each has a
+virtual time that grows by the granted tokens over its weight, and the one
+that is furthest behind is next (weighted fair queueing). Within an
+organisation the order is that of arrival.
+
+Engines have no priorities, so the wait is here and not there: a runner is
+granted only what its batch can hold.
+
+Shedding has one rule for all its reasons: only the lowest tier that waits is
+shed. Within it the organisation that waits with the most tokens for its
+weight gives its newest request.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+import typing as ty
+
+from apricotlanding import bundle
+from apricotlanding import ids
+from apricotlanding import wire
+from apricotlandingd import policies
+from apricotlandingd import runnerstate
+
+__all__ = ['GrantDecision', 'PoolQueue', 'ShedDecision', 'Waiting']
+
+# Seconds in which a grant has to be used.
+GRANT_EXPIRY = 1.0
+# Bounds of the advice when to come back, in seconds.
+RETRY_FIRST = 1.0
+RETRY_LAST = 30.0
+# Weight of the newest interval in the drain rate.
+_NEWEST = 0.3
+# Ends and seconds that make an interval.
+_RATE_ENDS = 8
+_RATE_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """A request that waits."""
+
+    entry: wire.Registration
+    sender: ids.Incarnation
+    # Monotonic times.
+    arrived_at: float
+    deadline_at: float
+    # Queue that it was put in; 0 for all under a policy without tiers.
+    rank: int
+    is_gone: bool = False
+
+    @property
+    def tokens(self) -> int:
+        """Return prompt and output tokens together."""
+        return self.entry.prompt_tokens + self.entry.output_tokens
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantDecision:
+    """A runner has room for a request."""
+
+    waiting: Waiting
+    runner: ids.Runner
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShedDecision:
+    """A request is given up."""
+
+    waiting: Waiting
+    retry_after_s: float
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Granted:
+    waiting: Waiting
+    runner: ids.Runner
+    expires_at: float
+    is_started: bool = False
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Lane:
+    # One organisation's queue in one tier.
+    items: collections.deque[Waiting]
+    virtual_time: float
+    weight: float
+    tokens: int = 0
+
+
+@ty.final
+class _TierQueue:
+    """The waiting requests of one tier."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[ids.Organisation, _Lane] = {}
+        self.count = 0
+        self._heap: list[tuple[float, int, ids.Organisation]] = []
+        self._ties = itertools.count()
+        self._floor = 0.0
+
+    def add(self, waiting: Waiting) -> None:
+        name = waiting.entry.organisation
+        lane = self.lanes.get(name)
+        if lane is None:
+            lane = _Lane(
+                collections.deque(), self._floor, waiting.entry.weight
+            )
+            self.lanes[name] = lane
+        if not lane.items:
+            # It had nothing to wait for: it does not save up turns.
+            lane.virtual_time = max(lane.virtual_time, self._floor)
+            self._push(name, lane)
+        lane.items.append(waiting)
+        lane.tokens += waiting.tokens
+        self.count += 1
+
+    def peek(self) -> Waiting | None:
+        while self._heap:
+            at, _, name = self._heap[0]
+            lane = self.lanes[name]
+            self._skip_gone(lane)
+            if lane.items and at == lane.virtual_time:
+                return lane.items[0]
+            heapq.heappop(self._heap)
+        return None
+
+    def pop(self) -> Waiting:
+        waiting = self.peek()
+        assert waiting is not None
+        heapq.heappop(self._heap)
+        lane = self.lanes[waiting.entry.organisation]
+        lane.items.popleft()
+        self._floor = max(self._floor, lane.virtual_time)
+        lane.virtual_time += waiting.tokens / lane.weight
+        self.discard(waiting)
+        self._skip_gone(lane)
+        if lane.items:
+            self._push(waiting.entry.organisation, lane)
+        return waiting
+
+    def discard(self, waiting: Waiting) -> None:
+        # Marks a request as gone; its place is cleared when it comes up.
+        waiting.is_gone = True
+        lane = self.lanes[waiting.entry.organisation]
+        lane.tokens -= waiting.tokens
+        self.count -= 1
+
+    def find_excess(self) -> Waiting | None:
+        # Returns the newest request of the organisation that waits with
+        # the most tokens for its weight.
+        lanes = [lane for lane in self.lanes.values() if lane.tokens > 0]
+        if not lanes:
+            return None
+        lane = max(lanes, key=lambda item: item.tokens / item.weight)
+        while lane.items and lane.items[-1].is_gone:
+            lane.items.pop()
+        return lane.items[-1]
+
+    def iterate(self) -> ty.Iterator[Waiting]:
+        for lane in self.lanes.values():
+            for waiting in lane.items:
+                if not waiting.is_gone:
+                    yield waiting
+
+    def _push(self, name: ids.Organisation, lane: _Lane) -> None:
+        item = (lane.virtual_time, next(self._ties), name)
+        heapq.heappush(self._heap, item)
+
+    def _skip_gone(self, lane: _Lane) -> None:
+        while lane.items and lane.items[0].is_gone:
+            lane.items.popleft()
+
+
+@ty.final
+class PoolQueue:
+    """Decisions of one pool's scheduler."""
+
+    def __init__(self, pool: bundle.PoolModel, seed: int = 0) -> None:
+        """Start empty."""
+        self.pool = pool
+        self.policy = policies.find_policy(pool.policy)
+        self.runners: dict[ids.Runner, runnerstate.RunnerState] = {}
+        self._tiers: dict[int, _TierQueue] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._granted: dict[str, _Granted] = {}
+        self._draw = random.Random(seed)  # noqa: S311
+        self._turn = 0
+        self._waiting_tokens = 0
+        # Tokens that end in a second while the pool is saturated.
+        self._drain_rate = 0.0
+        self._ended_tokens = 0
+        self._ended_count = 0
+        self._rate_since: float | None = None
+        self.update_pool(pool)
+
+    def update_pool(self, pool: bundle.PoolModel) -> None:
+        """Follow a change of configuration; work under way goes on."""
+        self.pool = pool
+        self.policy = policies.find_policy(pool.policy)
+        named = {ids.Runner(model.name): model for model in pool.runners}
+        for name, model in named.items():
+            if name in self.runners:
+                self.runners[name].model = model
+            else:
+                self.runners[name] = runnerstate.RunnerState(model)
+        for name in list(self.runners):
+            if name not in named:
+                del self.runners[name]
+
+    def count_waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def count_by_tier(self) -> dict[int, int]:
+        """Return how many requests wait in each tier."""
+        counts: collections.Counter[int] = collections.Counter()
+        for waiting in self._waiting.values():
+            counts[waiting.entry.tier] += 1
+        return dict(counts)
+
+    def register(
+        self, entry: wire.Registration, sender: ids.Incarnation, now: float
+    ) -> None:
+        """Add a request, waiting or, after a takeover, already running."""
+        known = self._granted.get(entry.ticket)
+        if known is not None and entry.runner is None:
+            # Its grant was not used; it waits again.
+            self._take_back(known)
+        if entry.ticket in self._waiting:
+            return
+        waiting = Waiting(
+            entry=entry,
+            sender=sender,
+            arrived_at=now - entry.waited_s,
+            deadline_at=now + entry.deadline_s,
+            rank=entry.tier if self.policy.has_tiers else 0,
+        )
+        if entry.runner is not None:
+            self._place(waiting, entry.runner, now, is_started=True)
+            return
+        self._add_waiting(waiting)
+
+    def start(self, message: wire.Started, now: float) -> None:
+        """Note that a grant is used."""
+        granted = self._granted.get(message.ticket)
+        if granted is not None and granted.runner == message.runner:
+            granted.is_started = True
+            return
+        waiting = self._waiting.get(message.ticket)
+        if waiting is not None:
+            # The grant of a scheduler before us.
+            self._drop_waiting(waiting)
+            self._place(waiting, message.runner, now, is_started=True)
+
+    def finish(self, message: wire.Finished, now: float) -> None:
+        """Note that a request has left its runner."""
+        granted = self._granted.pop(message.ticket, None)
+        if granted is None:
+            return
+        self._ended_tokens += granted.waiting.tokens
+        self._ended_count += 1
+        runner = self.runners.get(granted.runner)
+        if runner is None:
+            return
+        place = runner.release(message.ticket)
+        if place is not None:
+            runner.note_finished(place, message, now)
+
+    def withdraw(self, ticket: str) -> None:
+        """Forget a request that its daemon no longer wants to run."""
+        waiting = self._waiting.get(ticket)
+        if waiting is not None:
+            self._drop_waiting(waiting)
+        granted = self._granted.get(ticket)
+        if granted is not None:
+            self._take_back(granted)
+
+    def drop_sender(self, sender: ids.Incarnation) -> None:
+        """Forget what a daemon that is gone had waiting or running."""
+        for waiting in list(self._waiting.values()):
+            if waiting.sender == sender:
+                self._drop_waiting(waiting)
+        for granted in list(self._granted.values()):
+            if granted.waiting.sender == sender:
+                self._take_back(granted)
+
+    def decide(
+        self, now: float, may_shed: bool
+    ) -> list[GrantDecision | ShedDecision]:
+        """Grant what can be granted; then shed what has to be."""
+        self._measure_rate(now)
+        found: list[GrantDecision | ShedDecision] = []
+        found.extend(self._grant_all(now))
+        if may_shed:
+            found.extend(self._shed_all(now))
+        return found
+
+    def expire_grants(self, now: float) -> list[GrantDecision]:
+        """Take back grants that were not used in time; return them."""
+        expired: list[GrantDecision] = []
+        for granted in list(self._granted.values()):
+            if granted.is_started or now < granted.expires_at:
+                continue
+            self._take_back(granted)
+            expired.append(GrantDecision(granted.waiting, granted.runner))
+        return expired
+
+    def withdraw_grants(self, runner: ids.Runner) -> list[GrantDecision]:
+        """Take back a runner's grants that have not been used yet."""
+        found: list[GrantDecision] = []
+        for granted in list(self._granted.values()):
+            if granted.is_started or granted.runner != runner:
+                continue
+            self._take_back(granted)
+            found.append(GrantDecision(granted.waiting, granted.runner))
+        return found
+
+    def estimate_retry(self) -> float:
+        """Return in how many seconds what waits now will have drained."""
+        if self._drain_rate <= 0.0:
+            return RETRY_FIRST
+        seconds = self._waiting_tokens / self._drain_rate
+        return min(max(seconds, RETRY_FIRST), RETRY_LAST)
+
+    # Granting.
+
+    def _grant_all(self, now: float) -> ty.Iterator[GrantDecision]:
+        for rank in sorted(self._tiers):
+            tier = self._tiers[rank]
+            while (waiting := tier.peek()) is not None:
+                runner = self._choose_runner(waiting, now)
+                if runner is None:
+                    # Nothing may overtake it: were smaller requests let
+                    # past, a large one would wait for ever.
+                    return
+                tier.pop()
+                self._forget_waiting(waiting)
+                self._place(waiting, runner.name, now, is_started=False)
+                yield GrantDecision(waiting, runner.name)
+
+    def _choose_runner(
+        self, waiting: Waiting, now: float
+    ) -> runnerstate.RunnerState | None:
+        candidates = self._list_candidates(waiting, now)
+        if not candidates:
+            return None
+        self._turn += 1
+        return self.policy.choose(
+            policies.Choice(
+                candidates=candidates,
+                prompt_tokens=waiting.entry.prompt_tokens,
+                output_tokens=waiting.entry.output_tokens,
+                prefix=waiting.entry.prefix,
+                deadline_s=waiting.deadline_at - now,
+                draw=self._draw,
+                turn=self._turn,
+                now=now,
+            )
+        )
+
+    def _list_candidates(
+        self, waiting: Waiting, now: float
+    ) -> list[runnerstate.RunnerState]:
+        usable = [
+            runner for runner in self.runners.values() if runner.is_usable(now)
+        ]
+        fresh = [
+            runner
+            for runner in usable
+            if runner.name not in waiting.entry.avoid
+        ]
+        # A runner that failed this request is better than none.
+        usable = fresh or usable
+        if not self.policy.has_limits:
+            return usable
+        return [runner for runner in usable if runner.has_room(waiting.tokens)]
+
+    def _place(
+        self,
+        waiting: Waiting,
+        name: ids.Runner,
+        now: float,
+        is_started: bool,
+    ) -> None:
+        self._granted[waiting.entry.ticket] = _Granted(
+            waiting, name, now + GRANT_EXPIRY, is_started
+        )
+        runner = self.runners.get(name)
+        if runner is None:
+            return
+        entry = waiting.entry
+        cached = runner.count_cached(entry.prefix)
+        runner.occupy(
+            runnerstate.Occupancy(
+                ticket=entry.ticket,
+                tokens=waiting.tokens,
+                prompt_tokens=entry.prompt_tokens,
+                uncached_tokens=max(entry.prompt_tokens - cached, 0),
+            )
+        )
+        runner.remember_blocks(entry.prefix)
+
+    def _take_back(self, granted: _Granted) -> None:
+        del self._granted[granted.waiting.entry.ticket]
+        runner = self.runners.get(granted.runner)
+        if runner is not None:
+            runner.release(granted.waiting.entry.ticket)
+
+    # Shedding.
+
+    def _shed_all(self, now: float) -> ty.Iterator[ShedDecision]:
+        while self._is_overfull():
+            tier = self._find_lowest()
+            assert tier is not None
+            waiting = tier.find_excess()
+            assert waiting is not None
+            yield self._shed(waiting)
+        yield from self._shed_hopeless(now)
+
+    def _shed_hopeless(self, now: float) -> ty.Iterator[ShedDecision]:
+        # What cannot begin before its deadline is told so at once. Only
+        # the lowest tier that waits: a request of a higher tier may be as
+        # hopeless, but it must not be given up before a lower one is.
+        tier = self._find_lowest()
+        if tier is None or self._drain_rate <= 0.0:
+            return
+        lowest = sorted(tier.iterate(), key=lambda item: item.arrived_at)
+        ahead = self._waiting_tokens - sum(item.tokens for item in lowest)
+        for waiting in lowest:
+            if now + ahead / self._drain_rate > waiting.deadline_at:
+                yield self._shed(waiting)
+                continue
+            ahead += waiting.tokens
+
+    def _is_overfull(self) -> bool:
+        if len(self._waiting) > self.pool.queue_requests:
+            return True
+        if len(self._waiting) < 2:
+            return False
+        return self._waiting_tokens > self.pool.queue_tokens
+
+    def _find_lowest(self) -> _TierQueue | None:
+        for rank in sorted(self._tiers, reverse=True):
+            if self._tiers[rank].count > 0:
+                return self._tiers[rank]
+        return None
+
+    def _shed(self, waiting: Waiting) -> ShedDecision:
+        retry_after_s = self.estimate_retry()
+        self._drop_waiting(waiting)
+        return ShedDecision(waiting, retry_after_s)
+
+    # Book-keeping.
+
+    def _add_waiting(self, waiting: Waiting) -> None:
+        tier = self._tiers.get(waiting.rank)
+        if tier is None:
+            tier = self._tiers[waiting.rank] = _TierQueue()
+        tier.add(waiting)
+        self._waiting[waiting.entry.ticket] = waiting
+        self._waiting_tokens += waiting.tokens
+
+    def _drop_waiting(self, waiting: Waiting) -> None:
+        self._tiers[waiting.rank].discard(waiting)
+        self._forget_waiting(waiting)
+
+    def _forget_waiting(self, waiting: Waiting) -> None:
+        del self._waiting[waiting.entry.ticket]
+        self._waiting_tokens -= waiting.tokens
+
+    def _measure_rate(self, now: float) -> None:
+        if not self._waiting:
+            # Not saturated: what ends now says nothing of what could.
+            self._rate_since = None
+            return
+        if self._rate_since is None:
+            self._rate_since = now
+            self._ended_tokens = 0
+            self._ended_count = 0
+            return
+        seconds = now - self._rate_since
+        if seconds < _RATE_SECONDS or self._ended_count < _RATE_ENDS:
+            return
+        rate = self._ended_tokens / seconds
+        weight = _NEWEST if self._drain_rate > 0.0 else 1.0
+        self._drain_rate += weight * (rate - self._drain_rate)
+        self._rate_since = now
+        self._ended_tokens = 0
+        self._ended_count = 0
