Benchmark of a claim owner's death under load

Cause: how much a takeover costs callers was argued and never measured. Change: bench/takeover.py kills an owner under a steady load and prints what callers were told by half second, double runs and untrue answers.

--- /dev/null
+++ b/bench/takeover.py
@@ -0,0 +1,108 @@
+"""What callers are told when a claim owner is killed under load.
+
+Callers post at-most-once requests at a steady rate through the daemons that
+stay. One daemon that owns claims is killed. Printed: the outcomes by when
+the request was sent, counted from the kill, and how often a key ran twice
+or ran although its caller was told that it did not.
+
+    .venv/bin/python bench/takeover.py --seconds 12 --rate 60
+"""
+
+import collections
+import concurrent.futures
+import pathlib
+import tempfile
+import time
+
+import click
+
+from apricotstandins import callers
+from apricotstandins import deployment
+
+KILL_AFTER = 3.0
+
+
+def post_one(
+    system: deployment.Deployment, host: str, key: str
+) -> callers.Reply:
+    """Post one manifest change."""
+    return callers.post_request(
+        system.daemons[host].callers,
+        'manifest',
+        deployment.FESTIN_TOKEN,
+        {'van': 1},
+        key,
+    )
+
+
+def run_load(
+    system: deployment.Deployment, victim: str, seconds: float, rate: float
+) -> list[tuple[float, str, callers.Reply]]:
+    """Return (seconds since the kill, key, reply) of every request."""
+    hosts = [host for host in system.daemons if host != victim]
+    sent: list[tuple[float, str, concurrent.futures.Future[callers.Reply]]]
+    sent = []
+    killed_at = time.monotonic() + KILL_AFTER
+    is_killed = False
+    with concurrent.futures.ThreadPoolExecutor(64) as pool:
+        count = int(seconds * rate)
+        started = time.monotonic()
+        for number in range(count):
+            time.sleep(max(0.0, started + number / rate - time.monotonic()))
+            if not is_killed and time.monotonic() >= killed_at:
+                process = system.daemons[victim].process
+                assert process is not None
+                process.kill()
+                is_killed = True
+            key = callers.make_key()
+            at = time.monotonic() - killed_at
+            host = hosts[number % len(hosts)]
+            sent.append((at, key, pool.submit(post_one, system, host, key)))
+        return [(at, key, future.result()) for at, key, future in sent]
+
+
+def print_outcomes(
+    system: deployment.Deployment,
+    results: list[tuple[float, str, callers.Reply]],
+) -> None:
+    """Print a table by half second, and the two counts that must be 0."""
+    table: dict[float, collections.Counter[str]] = {}
+    executions = system.read_witness('manifest-1')['executions']
+    doubled = 0
+    untrue = 0
+    slowest = 0.0
+    for at, key, reply in results:
+        bucket = (at // 0.5) * 0.5
+        table.setdefault(bucket, collections.Counter())[reply.outcome] += 1
+        ran = executions.get(key, 0)
+        doubled += ran > 1
+        untrue += ran > 0 and reply.outcome == 'not-run'
+        slowest = max(slowest, reply.total_s)
+    total: collections.Counter[str] = collections.Counter()
+    for bucket in sorted(table):
+        total += table[bucket]
+        if len(table[bucket]) > 1 or 'complete' not in table[bucket]:
+            print(f'{bucket:6.1f} s  {dict(table[bucket])}')
+    print(f'total     {dict(total)}')
+    print(f'ran twice {doubled}, ran although told not-run {untrue}')
+    print(f'slowest answer {slowest:.2f} s')
+
+
+@click.command()
+@click.option('--seconds', default=12.0, help='Length of the load.')
+@click.option('--rate', default=60.0, help='Requests a second.')
+def main(seconds: float, rate: float) -> None:
+    """Kill a claim owner under load and print what callers were told."""
+    with tempfile.TemporaryDirectory() as name:
+        system = deployment.Deployment(pathlib.Path(name))
+        try:
+            system.start_all()
+            victim = system.find_owner('claims/0')
+            results = run_load(system, victim, seconds, rate)
+            print_outcomes(system, results)
+        finally:
+            system.stop()
+
+
+if __name__ == '__main__':
+    main()
