Draw the line of a takeover where the last right ended

Cause: after a takeover every key issued before the moment of serving plus the clock allowance is answered "unknown". Ruled out: fewer reports or a shorter detection; unknowns came in long after every daemon had reported.

Change: (1) no owner grants a key before its own clock has reached the key's issue time, so callers' clocks drop out of the line; keys up to 3 s ahead wait, later ones are refused as before. (2) The line starts where the last earlier right ended, which a successor knows from its last promise, not where it begins to serve. (3) The allowance for host clocks is 0.25 s by default.

What is left is what was issued in lease plus allowance.

--- a/packages/apricotlanding/src/apricotlanding/bundle.py
+++ b/packages/apricotlanding/src/apricotlanding/bundle.py
@@ -104,8 +104,11 @@
     deadline_ms: _Positive = 3_600_000
     # How long a key is remembered, in seconds.
     claim_window_s: _Seconds = 3600.0
-    # How far any clock may be off, in seconds.
-    clock_skew_s: _Seconds = 2.0
+    # How far the wall clock of an entry host may be off, in seconds.
+    clock_skew_s: _Seconds = 0.25
+    # How far ahead of ours a caller's clock may be, in seconds. Its keys
+    # are granted once our clock has reached their issue time.
+    key_ahead_s: _Seconds = 3.0
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/claims.py
+++ b/packages/apricotlandingd/src/apricotlandingd/claims.py
@@ -40,9 +40,9 @@
 # Claims in one part of a report.
 REPORT_PART = 2000
 DROP_INTERVAL = 10.0
-# Allowance for clocks, times this, past the moment of serving; see
-# ``claimtable``.
-LINE_SKEWS = 3
+# Allowance for host clocks, times this, past the end of the last earlier
+# right; see ``claimtable``.
+LINE_SKEWS = 2
 # Seconds between attempts to tell an owner what became of a key.
 _END_DELAY = 0.5
 
@@ -90,7 +90,7 @@
     # The role.
 
     def begin(
-        self, shard: ids.Shard, right: leases.Right, is_first: bool
+        self, shard: ids.Shard, right: leases.Right, start: owners.Start
     ) -> None:
         """Open a table for a shard."""
         config = self.find_bundle()
@@ -100,12 +100,11 @@
         handed = self._handed.pop((shard, before), None)
         is_whole = handed is not None and handed[-1].is_last
         wall = clocks.read_wall()
-        line: float | None = wall + LINE_SKEWS * limits.clock_skew_s
-        if is_first or is_whole:
+        ended_at = wall - (clocks.read_monotonic() - start.ended_at)
+        line: float | None = ended_at + LINE_SKEWS * limits.clock_skew_s
+        if start.is_first or is_whole:
             line = None
-        table = claimtable.ClaimTable(
-            right.epoch, limits.claim_window_s, limits.clock_skew_s, line
-        )
+        table = claimtable.ClaimTable(right.epoch, limits, line)
         for report in handed or []:
             table.add_report(report, wall)
         self._desks[shard] = _Desk(right, table, set(), anyio.Event())
@@ -146,9 +145,9 @@
                     wire.ClaimVerdict.CLOCK_OFF, desk.table.epoch
                 )
             reply = desk.table.decide(request, sender, clocks.read_wall())
-            if reply is not None:
+            if isinstance(reply, wire.ClaimReply):
                 break
-            with anyio.move_on_after(REPORT_WAIT):
+            with anyio.move_on_after(reply.seconds):
                 await desk.changed.wait()
         if not desk.right.is_valid(clocks.read_monotonic()):
             # The process was stopped between the first check and here. The
--- a/packages/apricotlandingd/src/apricotlandingd/claimtable.py
+++ b/packages/apricotlandingd/src/apricotlandingd/claimtable.py
@@ -6,11 +6,11 @@
 the owner before it may have granted:
 
 * keys issued (their UUIDv7 time) before the *line* may have been granted by
-  an earlier owner. The line is the moment when this owner begins to serve
-  plus three times the clock allowance: earlier owners granted until that
-  moment, each may have run ahead by one allowance, each takes keys that are
-  ahead of its clock by another, and this owner's clock may be behind by a
-  third. So the line holds whatever the callers' clocks say.
+  an earlier owner. No owner grants a key before its own clock has reached
+  the key's issue time, whatever the caller's clock says; and no earlier
+  owner granted after its right had ended. So the line is the moment when
+  the last earlier right ended, plus the allowance for host clocks twice:
+  that owner's clock may have run ahead and ours may be behind.
 * keys issued after it cannot have been granted by an earlier owner.
 
 An owner that received the whole table from the one before it has no line.
@@ -19,10 +19,14 @@
 import dataclasses
 import typing as ty
 
+from apricotlanding import bundle
 from apricotlanding import ids
 from apricotlanding import wire
 
-__all__ = ['Claim', 'ClaimTable']
+__all__ = ['Claim', 'ClaimTable', 'Pause']
+
+# Longest pause for reports before the table is looked at again, in seconds.
+_REPORT_PAUSE = 1.5
 
 
 @ty.final
@@ -43,6 +47,15 @@
 Place = tuple[ids.Organisation, ids.Key]
 
 
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """A claim cannot be answered yet; ask again."""
+
+    # Longest wait, in seconds; a report may end it sooner.
+    seconds: float
+
+
 @ty.final
 class ClaimTable:
     """Claims by organisation and key."""
@@ -50,8 +63,7 @@
     def __init__(
         self,
         epoch: ids.Epoch,
-        window_s: float,
-        skew_s: float,
+        limits: bundle.Limits,
         line: float | None,
     ) -> None:
         """Start without a claim.
@@ -60,8 +72,9 @@
         key that this one does not know of.
         """
         self.epoch = epoch
-        self.window_s = window_s
-        self.skew_s = skew_s
+        self.window_s = limits.claim_window_s
+        self.skew_s = limits.clock_skew_s
+        self.ahead_s = limits.key_ahead_s
         self.line = line
         # True once every live daemon has reported, or had time to.
         self.has_reports = line is None
@@ -76,8 +89,8 @@
         request: wire.ClaimRequest,
         sender: ids.Incarnation,
         wall: float,
-    ) -> wire.ClaimReply | None:
-        """Answer a claim; None while reports are still awaited.
+    ) -> wire.ClaimReply | Pause:
+        """Answer a claim, or say how long to wait.
 
         The caller has checked that the right to grant is valid, and checks
         it again after this returns. ``wall`` is Unix time.
@@ -91,9 +104,11 @@
             refusal = self._check_age(issued, wall)
             if refusal is not None:
                 return refusal
+            if issued > wall:
+                return Pause(issued - wall)
         if self._is_before_line(issued, wall):
             if not self.has_reports:
-                return None
+                return Pause(_REPORT_PAUSE)
             return self._reply(wire.ClaimVerdict.UNKNOWN)
         self._claims[place] = Claim(
             request.digest,
@@ -204,7 +219,7 @@
         )
 
     def _check_age(self, issued: float, wall: float) -> wire.ClaimReply | None:
-        if issued > wall + self.skew_s:
+        if issued > wall + self.ahead_s:
             return self._reply(
                 wire.ClaimVerdict.KEY_FROM_FUTURE, None, issued - wall
             )
--- a/packages/apricotlandingd/src/apricotlandingd/leases.py
+++ b/packages/apricotlandingd/src/apricotlandingd/leases.py
@@ -166,17 +166,28 @@
     me: ids.Incarnation,
     book: PromiseBook,
 ) -> float:
-    """Return when the owner of the current epoch may begin to serve.
+    """Return by when the right of every earlier owner has ended.
+
+    From then on the owner of the current epoch may serve. The time may lie
+    before its Take: a successor that has not promised for a while knows
+    that the right ended with its last promise.
 
     For each replaced owner that may still grant: its own successor waits
     for the end of its last promise, anyone else for the time after which
     an owner that cannot read the log stops.
     """
-    at = entry.taken_at
+    if not entry.unsettled:
+        return entry.taken_at
+    at = float('-inf')
     for item in entry.unsettled:
         past = item.past
         if past.successor == me:
-            end = book.find_end(shard, past.epoch) + MARGIN
+            end = book.find_end(shard, past.epoch)
+            if end == float('-inf'):
+                # It never had our promise, so its right had ended before
+                # we were named; that was before it was replaced.
+                end = item.replaced_at
+            end += MARGIN
         else:
             end = item.replaced_at + past.outage_limit_s * DRIFT + MARGIN
         at = max(at, end)
--- a/packages/apricotlandingd/src/apricotlandingd/owners.py
+++ b/packages/apricotlandingd/src/apricotlandingd/owners.py
@@ -37,7 +37,7 @@
 from apricotlandingd import peers
 from apricotlandingd import shardview
 
-__all__ = ['Owners', 'Role', 'list_shards', 'parse_shard']
+__all__ = ['Owners', 'Role', 'Start', 'list_shards', 'parse_shard']
 
 VISIT_INTERVAL = 0.1
 PROMISES_A_LEASE = 5
@@ -81,16 +81,24 @@
     return found
 
 
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Circumstances in which an owner begins to serve."""
+
+    # True if no earlier owner can have served.
+    is_first: bool
+    # Monotonic time by which every earlier owner's right had ended.
+    ended_at: float
+
+
 class Role(ty.Protocol):
     """What the owner of a kind of shard does."""
 
     def begin(
-        self, shard: ids.Shard, right: leases.Right, is_first: bool
+        self, shard: ids.Shard, right: leases.Right, start: Start
     ) -> None:
-        """Serve from now on, while the right is valid.
-
-        ``is_first`` is True if no earlier owner can have served.
-        """
+        """Serve from now on, while the right is valid."""
 
     def end(self, shard: ids.Shard) -> None:
         """Stop serving and forget."""
@@ -108,6 +116,8 @@
     is_serving: bool = False
     # A task appends a record for it now.
     is_busy: bool = False
+    # Monotonic time by which every earlier owner's right has ended.
+    ended_at: float = 0.0
 
 
 @ty.final
@@ -370,6 +380,7 @@
             at = leases.find_serve_time(
                 shard, entry, self.incarnation, self.book
             )
+            held.ended_at = at
             if now >= at:
                 self._start_busy(held, self._begin_serving, shard)
             return
@@ -423,10 +434,10 @@
         if not entry.is_serving or held.right.is_given_up:
             return
         self.book.forget_before(shard, epoch)
-        is_first = epoch == 1 and not self.view.is_trimmed
+        start = Start(epoch == 1 and not self.view.is_trimmed, held.ended_at)
         held.is_serving = True
         eliot.log_message('shard:serving', shard=shard, epoch=epoch)
-        self.roles[parse_shard(shard)[0]].begin(shard, held.right, is_first)
+        self.roles[parse_shard(shard)[0]].begin(shard, held.right, start)
 
     def _is_successor_lost(
         self,
--- a/packages/apricotlandingd/src/apricotlandingd/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolservice.py
@@ -88,7 +88,7 @@
     # The role.
 
     def begin(
-        self, shard: ids.Shard, right: leases.Right, is_first: bool
+        self, shard: ids.Shard, right: leases.Right, start: owners.Start
     ) -> None:
         """Open a queue for a pool."""
         config = self.find_bundle()
--- a/packages/apricotlandingd/src/apricotlandingd/shardview.py
+++ b/packages/apricotlandingd/src/apricotlandingd/shardview.py
@@ -52,8 +52,10 @@
     successor: ids.Incarnation | None
     lease_s: float
     outage_limit_s: float
-    # When this reader saw the Take of this epoch.
+    # When this reader saw the Take of this epoch, and when it saw the
+    # present successor named.
     taken_at: float
+    successor_since: float
     is_serving: bool = False
     # The owner has let go and nobody has taken over yet.
     is_released: bool = False
@@ -82,6 +84,7 @@
         lease_s=state.lease_s,
         outage_limit_s=state.outage_limit_s,
         taken_at=now,
+        successor_since=now,
         is_serving=state.is_serving,
         is_released=state.is_released,
         unsettled=[Unsettled(past, now) for past in state.unsettled],
@@ -161,6 +164,7 @@
             entry = self._find_current(body.shard, body.epoch, sender)
             if entry is not None:
                 entry.successor = body.successor
+                entry.successor_since = now
         elif isinstance(body, records.Release):
             self._apply_release(body, sender)
 
@@ -190,6 +194,7 @@
             lease_s=take.lease_s,
             outage_limit_s=take.outage_limit_s,
             taken_at=now,
+            successor_since=now,
             unsettled=unsettled,
         )
 
