Prove the ownership rules: stories with and without each safeguard

Found by it: refusing promises while a Take of ours is in doubt is not needed, because the taker waits for whatever it promised until it read the Take back; and it stopped the owner whenever the log was out.

--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,9 @@
 
 clean:
 	rm -rf .venv
+
+# Fresh random interleavings of the ownership rules; not part of the tests,
+# whose verdict must not change by itself.
+.PHONY: explore
+explore: .venv/installed
+	APRICOT_EXAMPLES=20000 $(BIN)/python -m pytest tests/test_ownership_rules.py
--- a/packages/apricotlandingd/src/apricotlandingd/leases.py
+++ b/packages/apricotlandingd/src/apricotlandingd/leases.py
@@ -122,8 +122,6 @@
         self._ends: dict[tuple[ids.Shard, ids.Epoch], float] = {}
         # When each owner last asked.
         self.asked_at: dict[tuple[ids.Shard, ids.Epoch], float] = {}
-        # Shards for which a Take of ours is on its way to the log.
-        self.taking: set[ids.Shard] = set()
 
     def give(
         self,
@@ -137,10 +135,9 @@
             entry = view.get(shard)
             if entry is not None and entry.epoch > epoch:
                 continue
-            if shard in self.taking:
-                # Our Take may stand already: a promise now could be
-                # broken before its lease ends.
-                continue
+            # A Take of ours may be on its way to the log, or have landed
+            # unread. The promise binds all the same: once we read the Take
+            # we wait for the end of whatever was promised until then.
             place = (shard, epoch)
             end = now + request.lease_s * DRIFT
             self._ends[place] = max(end, self._ends.get(place, end))
--- a/packages/apricotlandingd/src/apricotlandingd/logfollower.py
+++ b/packages/apricotlandingd/src/apricotlandingd/logfollower.py
@@ -93,7 +93,7 @@
                 delay = min(2 * delay, _LAST_DELAY)
                 continue
             delay = _FIRST_DELAY
-            self._take_batch(batch, clocks.read_monotonic())
+            self.take_batch(batch, clocks.read_monotonic())
 
     async def append(self, body: object) -> ids.Offset | None:
         """Append a record; return where it stands, or None if it is void.
@@ -132,7 +132,8 @@
             await anyio.sleep(_FIRST_DELAY)
         return pending
 
-    def _take_batch(self, batch: platformlog.LogBatch, now: float) -> None:
+    def take_batch(self, batch: platformlog.LogBatch, now: float) -> None:
+        """Take note of records that were read."""
         self.read_at = now
         if batch.first > self.next:
             # Retention dropped records that were never read: what was
--- a/packages/apricotlandingd/src/apricotlandingd/owners.py
+++ b/packages/apricotlandingd/src/apricotlandingd/owners.py
@@ -332,7 +332,6 @@
             outage_limit_s=config.ownership.outage_limit_s,
         )
         self._taking.add(shard)
-        self.book.taking.add(shard)
         assert self._group is not None
         self._group.start_soon(supervisor.run_guarded, self._take, take)
 
@@ -343,7 +342,6 @@
         finally:
             self._taking.discard(take.shard)
             self._free_since.pop(take.shard, None)
-            self.book.taking.discard(take.shard)
 
     def _choose_successor(
         self, shard: ids.Shard, avoid: set[ids.Incarnation]
--- /dev/null
+++ b/tests/ownershipmodel.py
@@ -0,0 +1,360 @@
+"""A world of a few daemons, one shard and a log, in which time is a number.
+
+The rules under test are the real ones: ``LogFollower.take_batch``,
+``ShardView``, ``PromiseBook``, ``Right``, ``find_serve_time`` and
+``ClaimTable``. The world only decides what happens when: which appends land,
+late or never; who reads how far; which messages arrive, and when.
+
+After every step ``check`` looks for two owners with a valid right at the
+same time, and for a key with two grants that were not released.
+"""
+
+import dataclasses
+import typing as ty
+
+from apricotlanding import bundle
+from apricotlanding import ids
+from apricotlanding import platformlog
+from apricotlanding import records
+from apricotlanding import wire
+from apricotlandingd import claimtable
+from apricotlandingd import leases
+from apricotlandingd import logfollower
+from apricotlandingd import shardview
+from apricotstandins import callers
+
+SHARD = ids.Shard('claims/0')
+ORGANISATION = ids.Organisation('festin')
+LEASE = 1.0
+OUTAGE_LIMIT = 10.0
+SKEW = 0.25
+LIMITS = bundle.Limits(clock_skew_s=SKEW)
+# Wall clock time at monotonic time 0.
+EPOCH_WALL = 1_700_000_000.0
+
+
+class Violation(AssertionError):
+    """A promise of the system is broken."""
+
+
+@dataclasses.dataclass(eq=False)
+class Append:
+    envelope: records.Envelope
+    sent_at: float
+
+
+@dataclasses.dataclass(eq=False)
+class Letter:
+    """A promise on its way: asked for, or given as well."""
+
+    owner: 'Node'
+    giver: 'Node'
+    request: wire.PromiseRequest
+    sent_at: float
+    given: wire.Promise | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class Granted:
+    key: ids.Key
+    node: 'Node'
+    ticket: str
+    is_released: bool = False
+
+
+class Node:
+    """One incarnation of one daemon."""
+
+    def __init__(self, host: str, run: int, wall_offset: float) -> None:
+        self.incarnation = ids.Incarnation(f'{host}/{run}')
+        self.host = host
+        self.follower = logfollower.LogFollower(
+            ty.cast(platformlog.PlatformLog, None), self.incarnation
+        )
+        self.view = shardview.ShardView()
+        self.follower.add_observer(self.view)
+        self.book = leases.PromiseBook()
+        self.right: leases.Right | None = None
+        self.table: claimtable.ClaimTable | None = None
+        self.is_serving = False
+        self.ended_at = 0.0
+        self.wall_offset = wall_offset
+        self.sequence = 0
+        self.is_dead = False
+        # Number of an append in doubt, by what it was.
+        self.doubts: dict[str, int] = {}
+        self.sent_at: dict[int, float] = {}
+        self.pending_successor: ids.Incarnation | None = None
+
+    def wall(self, now: float) -> float:
+        return EPOCH_WALL + now + self.wall_offset
+
+
+class World:
+    """Everything that a step may touch."""
+
+    def __init__(self, hosts: int = 3, skews: ty.Sequence[float] = ()) -> None:
+        self.now = 0.0
+        self.log: list[tuple[ids.Offset, bytes]] = []
+        self.flying: list[Append] = []
+        self.letters: list[Letter] = []
+        self.granted: list[Granted] = []
+        self.tickets = 0
+        self.runs = 0
+        offsets = [*skews, *[0.0] * hosts]
+        self.nodes = [
+            Node(f'h{number}', self._count_run(), offsets[number])
+            for number in range(hosts)
+        ]
+
+    # The log.
+
+    def send(self, node: Node, body: object, doubt: str = '') -> Append:
+        node.sequence += 1
+        node.sent_at[node.sequence] = self.now
+        if doubt:
+            node.doubts[doubt] = node.sequence
+        envelope = records.Envelope(node.incarnation, node.sequence, body)
+        append = Append(envelope, self.now)
+        self.flying.append(append)
+        return append
+
+    def land(self, append: Append) -> None:
+        self.flying.remove(append)
+        offset = ids.Offset(len(self.log))
+        self.log.append((offset, append.envelope.encode()))
+
+    def read(self, node: Node, count: int = 1_000_000) -> None:
+        """Let a node read some records and act as ``Owners`` would."""
+        for offset, data in self.log[node.follower.next :][:count]:
+            batch = platformlog.LogBatch(
+                ids.Offset(0), ids.Offset(offset + 1), False, [(offset, data)]
+            )
+            node.follower.take_batch(batch, self.now)
+            envelope = records.decode_envelope(data)
+            if envelope.sender == node.incarnation:
+                self._read_back(node, envelope.sequence)
+            self._look(node)
+
+    def _read_back(self, node: Node, sequence: int) -> None:
+        node.follower.confirmed_at = node.sent_at[sequence]
+        for doubt, number in list(node.doubts.items()):
+            if number <= sequence:
+                del node.doubts[doubt]
+        if 'name' not in node.doubts and node.right is not None:
+            entry = node.view.get(SHARD)
+            if entry is not None and entry.owner == node.incarnation:
+                node.right.require_only(entry.successor)
+
+    def _look(self, node: Node) -> None:
+        entry = node.view.get(SHARD)
+        assert entry is not None or not self.log or node.right is None
+        if entry is None:
+            return
+        is_mine = entry.owner == node.incarnation and not entry.is_released
+        if node.right is not None:
+            if is_mine and entry.epoch == node.right.epoch:
+                if entry.is_serving and not node.is_serving:
+                    self._begin(node, node.right)
+                return
+            was_serving = node.is_serving
+            epoch = node.right.epoch
+            node.right = None
+            node.table = None
+            node.is_serving = False
+            if was_serving and entry.owner != node.incarnation:
+                self.send(node, records.Release(SHARD, epoch))
+        if is_mine:
+            node.right = leases.Right(
+                entry.epoch, entry.lease_s, entry.outage_limit_s
+            )
+            if entry.successor is not None:
+                node.right.require(entry.successor, self.now)
+
+    def _begin(self, node: Node, right: leases.Right) -> None:
+        node.is_serving = True
+        line = None
+        if right.epoch > 1:
+            ended = node.wall(self.now) - (self.now - node.ended_at)
+            line = ended + 2 * SKEW
+        node.table = claimtable.ClaimTable(right.epoch, LIMITS, line)
+
+    # What a daemon may do at any time.
+
+    def take(self, node: Node, successor: Node | None) -> Append | None:
+        entry = node.view.get(SHARD)
+        if 'take' in node.doubts or node.right is not None:
+            return None
+        epoch = ids.Epoch(1 if entry is None else entry.epoch + 1)
+        name = None if successor is None else successor.incarnation
+        take = records.Take(SHARD, epoch, name, LEASE, OUTAGE_LIMIT)
+        return self.send(node, take, 'take')
+
+    def serve(self, node: Node) -> Append | None:
+        entry = node.view.get(SHARD)
+        if node.right is None or entry is None or node.is_serving:
+            return None
+        at = leases.find_serve_time(SHARD, entry, node.incarnation, node.book)
+        if self.now < at:
+            return None
+        node.ended_at = at
+        return self.send(node, records.Serving(SHARD, node.right.epoch))
+
+    def name(self, node: Node, successor: Node | None) -> Append | None:
+        if node.right is None or not node.is_serving:
+            return None
+        if 'name' in node.doubts:
+            return None
+        name = None if successor is None else successor.incarnation
+        if name is not None:
+            node.right.require(name, self.now)
+        change = records.NameSuccessor(SHARD, node.right.epoch, name)
+        return self.send(node, change, 'name')
+
+    def ask(self, owner: Node, giver: Node) -> Letter | None:
+        if owner.right is None or owner is giver:
+            return None
+        place = (SHARD, owner.right.epoch)
+        letter = Letter(
+            owner, giver, wire.PromiseRequest([place], LEASE), self.now
+        )
+        self.letters.append(letter)
+        return letter
+
+    def carry(self, letter: Letter) -> None:
+        """Bring a letter to its next reader."""
+        giver = letter.giver
+        if letter.given is None:
+            if giver.is_dead:
+                self.letters.remove(letter)
+                return
+            given = giver.book.give(letter.request, giver.view, self.now)
+            confirmed = giver.follower.confirmed_at
+            age = None if confirmed is None else self.now - confirmed
+            letter.given = wire.Promise(given, age)
+            return
+        self.letters.remove(letter)
+        right = letter.owner.right
+        for _, epoch in letter.given.shards:
+            if right is None or right.epoch != epoch:
+                continue
+            right.note_promise(
+                giver.incarnation,
+                letter.sent_at,
+                LEASE,
+                letter.given.confirmed_age_s,
+            )
+
+    def claim(
+        self, owner: Node, asker: Node, key: ids.Key
+    ) -> wire.ClaimVerdict | None:
+        """Ask an owner for a key; None if it does not answer."""
+        if owner.table is None or not self.has_right(owner):
+            return None
+        self.tickets += 1
+        request = wire.ClaimRequest(
+            SHARD, ORGANISATION, key, b'd', f't{self.tickets}'
+        )
+        wall = owner.wall(self.now)
+        reply = owner.table.decide(request, asker.incarnation, wall)
+        if isinstance(reply, claimtable.Pause):
+            return None
+        if reply.verdict is wire.ClaimVerdict.GRANTED:
+            self.granted.append(Granted(key, asker, request.ticket))
+        return reply.verdict
+
+    def report(self, owner: Node, sender: Node) -> None:
+        """Let a daemon tell a new owner what it holds."""
+        if owner.table is None or sender.is_dead:
+            return
+        held = [
+            wire.HeldClaim(
+                ORGANISATION,
+                item.key,
+                b'd',
+                wire.ClaimState.RELEASED
+                if item.is_released
+                else wire.ClaimState.HELD,
+                sender.incarnation,
+                item.ticket,
+            )
+            for item in self.granted
+            if item.node is sender
+        ]
+        owner.table.add_report(
+            wire.ClaimReport(SHARD, owner.table.epoch, held, True),
+            owner.wall(self.now),
+        )
+
+    def release(self, item: Granted) -> wire.ClaimEnd:
+        """Let a holder give up a key that it did not run."""
+        item.is_released = True
+        return wire.ClaimEnd(
+            SHARD,
+            ORGANISATION,
+            item.key,
+            wire.ClaimState.RELEASED,
+            item.ticket,
+        )
+
+    def restart(self, node: Node) -> Node:
+        """Kill a daemon and start another on its host."""
+        node.is_dead = True
+        node.right = None
+        node.table = None
+        fresh = Node(node.host, self._count_run(), node.wall_offset)
+        self.nodes[self.nodes.index(node)] = fresh
+        return fresh
+
+    def has_right(self, node: Node) -> bool:
+        if node.right is None or not node.is_serving:
+            return False
+        if node.follower.confirmed_at is not None:
+            node.right.note_confirmed(node.follower.confirmed_at)
+        return node.right.is_valid(self.now)
+
+    def check(self) -> None:
+        """Raise Violation if a promise is broken."""
+        valid = [node for node in self.nodes if self.has_right(node)]
+        if len(valid) > 1:
+            names = [node.incarnation for node in valid]
+            raise Violation(f'two rights at {self.now}: {names}')
+        open_keys = [item.key for item in self.granted if not item.is_released]
+        if len(set(open_keys)) < len(open_keys):
+            raise Violation(f'a key was granted twice: {open_keys}')
+
+    def make_key(self, ahead_s: float = 0.0) -> ids.Key:
+        """Issue a key by a caller whose clock is off."""
+        return ids.Key(callers.make_key(EPOCH_WALL + self.now + ahead_s))
+
+    def _count_run(self) -> int:
+        self.runs += 1
+        return self.runs
+
+
+def start_serving(world: World, owner: Node, successor: Node | None) -> None:
+    """Bring an owner to serve, with everybody having read the log."""
+    append = world.take(owner, successor)
+    assert append is not None
+    settle(world, append)
+    append = world.serve(owner)
+    assert append is not None
+    settle(world, append)
+    if successor is not None:
+        exchange(world, owner, successor)
+
+
+def settle(world: World, append: Append) -> None:
+    """Land a record and let everybody read it."""
+    world.land(append)
+    for node in world.nodes:
+        world.read(node)
+
+
+def exchange(world: World, owner: Node, giver: Node) -> None:
+    """Ask for a promise and get it, all at once."""
+    letter = world.ask(owner, giver)
+    if letter is not None:
+        world.carry(letter)
+        if letter in world.letters:
+            world.carry(letter)
--- /dev/null
+++ b/tests/test_ownership_rules.py
@@ -0,0 +1,180 @@
+"""Any interleaving of takeovers, pauses, lost replies and outages is safe."""
+
+import os
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+import testtools
+
+from apricotlanding import ids
+from apricotlanding import wire
+import ownershipmodel as model
+
+_NODES = strategies.integers(0, 2)
+_PICK = strategies.integers(0, 7)
+_DELAYS = strategies.sampled_from([0.05, 0.2, 0.6, 1.1, 2.5, 6.0, 11.0])
+# A successor, or nobody.
+_MAYBE = strategies.integers(0, 3)
+_MOSTLY = strategies.sampled_from([True, True, False])
+_TIMES = strategies.integers(1, 12)
+_AHEAD = strategies.sampled_from([-20.0, -1.0, 0.0, 0.2, 1.0, 2.5])
+_SKEWS = strategies.sampled_from([-model.SKEW, 0.0, model.SKEW])
+
+
+class OwnershipMachine(stateful.RuleBasedStateMachine):
+    """Three daemons that do what they may at the worst moments."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = model.World()
+        self.keys: list[ids.Key] = []
+        self.ends: list[tuple[model.Granted, wire.ClaimEnd]] = []
+
+    @stateful.initialize(skews=strategies.tuples(_SKEWS, _SKEWS, _SKEWS))
+    def begin(self, skews: tuple[float, float, float]) -> None:
+        self.world = model.World(3, skews)
+        first, second, _ = self.world.nodes
+        model.start_serving(self.world, first, second)
+
+    # Time and the log. Most steps come in a quick form, in which a daemon
+    # reaches the log, and a slow one, in which the record stays under way.
+
+    @stateful.rule(seconds=_DELAYS)
+    def advance(self, seconds: float) -> None:
+        self.world.now += seconds
+
+    @stateful.rule(pick=_PICK)
+    def land(self, pick: int) -> None:
+        if self.world.flying:
+            flying = self.world.flying
+            self.world.land(flying[pick % len(flying)])
+
+    @stateful.rule(node=_NODES)
+    def read(self, node: int) -> None:
+        self.world.read(self.world.nodes[node])
+
+    @stateful.rule(node=_NODES)
+    def confirm(self, node: int) -> None:
+        mark = self.world.send(self.world.nodes[node], model.records.Mark())
+        self._finish(node, mark)
+
+    # Owners.
+
+    @stateful.rule(node=_NODES, successor=_MAYBE, is_quick=_MOSTLY)
+    def take(self, node: int, successor: int, is_quick: bool) -> None:
+        place = self.world.nodes[node]
+        append = self.world.take(place, self._pick(node, successor))
+        if is_quick:
+            self._finish(node, append)
+            self._finish(node, self.world.serve(place))
+
+    @stateful.rule(node=_NODES)
+    def serve(self, node: int) -> None:
+        self._finish(node, self.world.serve(self.world.nodes[node]))
+
+    @stateful.rule(node=_NODES, successor=_MAYBE, is_quick=_MOSTLY)
+    def name(self, node: int, successor: int, is_quick: bool) -> None:
+        place = self.world.nodes[node]
+        append = self.world.name(place, self._pick(node, successor))
+        if is_quick:
+            self._finish(node, append)
+
+    @stateful.rule(owner=_NODES, giver=_NODES, times=_TIMES)
+    def renew(self, owner: int, giver: int, times: int) -> None:
+        nodes = self.world.nodes
+        for _ in range(times):
+            self.world.now += 0.2
+            model.exchange(self.world, nodes[owner], nodes[giver])
+            self.world.check()
+
+    @stateful.rule(owner=_NODES, giver=_NODES)
+    def ask(self, owner: int, giver: int) -> None:
+        self.world.ask(self.world.nodes[owner], self.world.nodes[giver])
+
+    @stateful.rule(pick=_PICK)
+    def carry(self, pick: int) -> None:
+        if self.world.letters:
+            letters = self.world.letters
+            self.world.carry(letters[pick % len(letters)])
+
+    @stateful.rule(node=_NODES)
+    def restart(self, node: int) -> None:
+        self.world.restart(self.world.nodes[node])
+
+    # Claims.
+
+    @stateful.rule(asker=_NODES, ahead=_AHEAD)
+    def claim_new(self, asker: int, ahead: float) -> None:
+        self.keys.append(self.world.make_key(ahead))
+        self._claim_anywhere(asker, self.keys[-1])
+
+    @stateful.rule(asker=_NODES, pick=_PICK)
+    def claim_again(self, asker: int, pick: int) -> None:
+        if self.keys:
+            key = self.keys[-1 - pick % len(self.keys)]
+            self._claim_anywhere(asker, key)
+
+    @stateful.rule(senders=strategies.sets(_NODES))
+    def report(self, senders: set[int]) -> None:
+        for owner in self.world.nodes:
+            for sender in senders:
+                self.world.report(owner, self.world.nodes[sender])
+            if owner.table is not None:
+                owner.table.has_reports = True
+
+    @stateful.rule(pick=_PICK)
+    def release(self, pick: int) -> None:
+        held = [item for item in self.world.granted if not item.is_released]
+        if held:
+            item = held[pick % len(held)]
+            self.ends.append((item, self.world.release(item)))
+            self._tell_end(*self.ends[-1])
+
+    @stateful.rule(pick=_PICK)
+    def tell_again(self, pick: int) -> None:
+        # Its acknowledgement was lost, and it is told once more.
+        if self.ends:
+            self._tell_end(*self.ends[pick % len(self.ends)])
+
+    @stateful.invariant()
+    def keep_promises(self) -> None:
+        self.world.check()
+
+    def _pick(self, node: int, successor: int) -> model.Node | None:
+        if successor >= 3 or successor == node:
+            return None
+        return self.world.nodes[successor]
+
+    def _finish(self, node: int, append: model.Append | None) -> None:
+        if append is not None:
+            self.world.land(append)
+            self.world.read(self.world.nodes[node])
+
+    def _claim_anywhere(self, asker: int, key: ids.Key) -> None:
+        for owner in self.world.nodes:
+            self.world.claim(owner, self.world.nodes[asker], key)
+
+    def _tell_end(self, item: model.Granted, end: wire.ClaimEnd) -> None:
+        for owner in self.world.nodes:
+            if owner.table is not None:
+                owner.table.end(end, item.node.incarnation)
+
+
+class TestOwnershipRules(testtools.TestCase):
+    """No interleaving gives two valid rights or two grants of a key."""
+
+    def test_any_interleaving(self) -> None:
+        # The same examples in every run: a verdict must not change by
+        # itself. ``make explore`` draws fresh ones.
+        count = int(os.environ.get('APRICOT_EXAMPLES', '300'))
+        stateful.run_state_machine_as_test(  # type: ignore[no-untyped-call]
+            OwnershipMachine,
+            settings=settings(
+                max_examples=count,
+                stateful_step_count=80,
+                derandomize='APRICOT_EXAMPLES' not in os.environ,
+                deadline=None,
+                database=None,
+            ),
+        )
--- /dev/null
+++ b/tests/test_safeguards.py
@@ -0,0 +1,444 @@
+"""Each safeguard of ownership and claims: safe with it, broken without.
+
+Every case is a story that was made to break the system. It is told twice:
+with the safeguard in place nothing is broken; with it removed the same story
+breaks a promise, which shows that the case can fail and that the safeguard
+is needed.
+"""
+
+import collections.abc
+import dataclasses
+import typing as ty
+
+import testtools
+
+from apricotlanding import records
+from apricotlanding import wire
+from apricotlandingd import claimtable
+from apricotlandingd import leases
+from apricotlandingd import logfollower
+from apricotlandingd import shardview
+import ownershipmodel as model
+
+Story = collections.abc.Callable[[model.World], None]
+Removal = collections.abc.Callable[[testtools.TestCase], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    story: Story
+    remove: Removal
+
+
+_cases: dict[str, Case] = {}
+
+
+def case(remove: Removal) -> collections.abc.Callable[[Story], Story]:
+    def file_story(story: Story) -> Story:
+        _cases[story.__name__] = Case(story, remove)
+        return story
+
+    return file_story
+
+
+def renew_for(
+    world: model.World, owner: model.Node, giver: model.Node, seconds: float
+) -> None:
+    """Let a pair go on while the log is out for both."""
+    end = world.now + seconds
+    while world.now < end:
+        world.now += 0.2
+        model.exchange(world, owner, giver)
+        world.check()
+
+
+def take_and_serve(world: model.World, node: model.Node) -> None:
+    """Let a node that reads the log take over as soon as it may."""
+    append = world.take(node, None)
+    assert append is not None
+    world.land(append)
+    world.read(node)
+    serve_when_allowed(world, node)
+
+
+def serve_when_allowed(world: model.World, node: model.Node) -> None:
+    append = world.serve(node)
+    if append is not None:
+        world.land(append)
+        world.read(node)
+    world.check()
+
+
+# Removals.
+
+
+def ignore_outage_limit(test: testtools.TestCase) -> None:
+    find_end = leases.Right.find_end
+
+    def find_unlimited(right: leases.Right) -> float:
+        right.outage_limit_s = float('inf')
+        return find_end(right)
+
+    test.patch(leases.Right, 'find_end', find_unlimited)
+
+
+def wait_short_as_outsider(test: testtools.TestCase) -> None:
+    def find_short(
+        shard: ty.Any, entry: ty.Any, me: ty.Any, book: leases.PromiseBook
+    ) -> float:
+        ends = [item.replaced_at + model.LEASE for item in entry.unsettled]
+        return float(max([entry.taken_at, *ends]))
+
+    test.patch(leases, 'find_serve_time', find_short)
+
+
+def need_only_new_successor(test: testtools.TestCase) -> None:
+    def require(right: leases.Right, giver: ty.Any, now: float) -> None:
+        # As if the change of successor had been decided by sending it.
+        if not right.required:
+            right.required.add(giver)
+
+    test.patch(leases.Right, 'require', require)
+
+
+def accept_late_records(test: testtools.TestCase) -> None:
+    class Forgetful(dict[ty.Any, int]):
+        def get(self, *_: ty.Any) -> int:  # type: ignore[override]
+            return 0
+
+    begin = logfollower.LogFollower.__init__
+
+    def begin_forgetful(
+        follower: logfollower.LogFollower, *arguments: ty.Any
+    ) -> None:
+        begin(follower, *arguments)
+        follower._highest = Forgetful()
+
+    test.patch(logfollower.LogFollower, '__init__', begin_forgetful)
+
+
+def wait_for_last_taker_only(test: testtools.TestCase) -> None:
+    apply_take = shardview.ShardView._apply_take
+
+    def apply_forgetful(view: shardview.ShardView, *arguments: ty.Any) -> None:
+        entry = view.entries.get(model.SHARD)
+        if entry is not None:
+            entry.unsettled = []
+            entry.is_serving = True
+        apply_take(view, *arguments)
+
+    test.patch(shardview.ShardView, '_apply_take', apply_forgetful)
+
+
+def count_from_receipt(test: testtools.TestCase) -> None:
+    carry = model.World.carry
+
+    def carry_late(world: model.World, letter: model.Letter) -> None:
+        if letter.given is not None:
+            letter.sent_at = world.now
+        carry(world, letter)
+
+    test.patch(model.World, 'carry', carry_late)
+
+
+def draw_no_line(test: testtools.TestCase) -> None:
+    test.patch(
+        claimtable.ClaimTable, '_is_before_line', lambda *arguments: False
+    )
+
+
+def grant_early_keys(test: testtools.TestCase) -> None:
+    decide = claimtable.ClaimTable.decide
+
+    def decide_early(
+        table: claimtable.ClaimTable,
+        request: ty.Any,
+        sender: ty.Any,
+        wall: float,
+    ) -> ty.Any:
+        reply = decide(table, request, sender, wall)
+        if isinstance(reply, claimtable.Pause) and table.has_reports:
+            return decide(table, request, sender, wall + reply.seconds)
+        return reply
+
+    test.patch(claimtable.ClaimTable, 'decide', decide_early)
+
+
+def ignore_tickets(test: testtools.TestCase) -> None:
+    def end(
+        table: claimtable.ClaimTable, message: wire.ClaimEnd, sender: ty.Any
+    ) -> None:
+        claim = table.find(message.organisation, message.key)
+        if claim is not None and claim.holder == sender:
+            claim.state = message.state
+
+    test.patch(claimtable.ClaimTable, 'end', end)
+
+
+def believe_released_reports(test: testtools.TestCase) -> None:
+    add_report = claimtable.ClaimTable.add_report
+
+    def add_all(
+        table: claimtable.ClaimTable, report: wire.ClaimReport, wall: float
+    ) -> None:
+        whole = dataclasses.replace(report, is_handover=True)
+        add_report(table, whole, wall)
+
+    test.patch(claimtable.ClaimTable, 'add_report', add_all)
+
+
+# Stories.
+
+
+@case(ignore_outage_limit)
+def pair_cut_off_from_log(world: model.World) -> None:
+    """Owner and successor hear only each other; an outsider takes over.
+
+    The log is cut off for both, so neither reads the outsider's Take. They
+    renew as if nothing had happened and must stop by themselves before the
+    outsider begins.
+    """
+    owner, successor, outsider = world.nodes
+    model.start_serving(world, owner, successor)
+    append = world.take(outsider, None)
+    assert append is not None
+    world.land(append)
+    world.read(outsider)
+    renew_for(world, owner, successor, 1.02 * model.OUTAGE_LIMIT)
+    serve_when_allowed(world, outsider)
+    assert outsider.is_serving
+
+
+@case(wait_short_as_outsider)
+def outsider_is_early(world: model.World) -> None:
+    """An outsider that waited a lease only would meet the old owner."""
+    owner, successor, outsider = world.nodes
+    model.start_serving(world, owner, successor)
+    append = world.take(outsider, None)
+    assert append is not None
+    world.land(append)
+    world.read(outsider)
+    renew_for(world, owner, successor, 2 * model.LEASE)
+    serve_when_allowed(world, outsider)
+
+
+@case(need_only_new_successor)
+def successor_change_lands_unseen(world: model.World) -> None:
+    """The record that names another successor lands, its reply is lost.
+
+    The new successor reads it and takes over at once, for it never promised
+    anything. The owner and the old successor, both cut off from the log, go
+    on with each other.
+    """
+    owner, old, new = world.nodes
+    model.start_serving(world, owner, old)
+    change = world.name(owner, new)
+    assert change is not None
+    world.land(change)
+    world.read(new)
+    renew_for(world, owner, old, 0.4)
+    take_and_serve(world, new)
+    world.now += 0.1
+    model.exchange(world, owner, old)
+    serve_when_allowed(world, new)
+    assert new.is_serving
+
+
+@case(accept_late_records)
+def record_lands_after_its_sender_gave_it_up(world: model.World) -> None:
+    """A change of successor takes effect long after its sender's next one.
+
+    The owner read its next record back and counts on its old successor
+    again. Were the late record valid, the other host could take over at
+    once.
+    """
+    owner, old, other = world.nodes
+    model.start_serving(world, owner, old)
+    late = world.name(owner, other)
+    assert late is not None
+    model.settle(world, world.send(owner, records.Mark()))
+    world.land(late)
+    world.read(other)
+    renew_for(world, owner, old, 0.4)
+    take_and_serve(world, other)
+    world.now += 0.1
+    model.exchange(world, owner, old)
+    serve_when_allowed(world, other)
+
+
+@case(wait_for_last_taker_only)
+def taker_dies_in_its_long_wait(world: model.World) -> None:
+    """An outsider dies waiting; its successor must wait as long.
+
+    It never served, so its successor is nobody's successor as far as the
+    owner before is concerned, who is cut off with its own successor.
+    """
+    owner, successor, outsider, heir = world.nodes
+    model.start_serving(world, owner, successor)
+    append = world.take(outsider, heir)
+    assert append is not None
+    world.land(append)
+    world.read(outsider)
+    world.read(heir)
+    world.restart(outsider)
+    renew_for(world, owner, successor, 2 * model.LEASE)
+    take_and_serve(world, heir)
+    renew_for(world, owner, successor, 2 * model.LEASE)
+    serve_when_allowed(world, heir)
+
+
+@case(count_from_receipt)
+def promise_arrives_late(world: model.World) -> None:
+    """A promise travels for nearly its whole length.
+
+    Counted from its arrival it would outlive what its giver promised.
+    """
+    owner, successor, _ = world.nodes
+    model.start_serving(world, owner, successor)
+    letter = world.ask(owner, successor)
+    assert letter is not None
+    world.carry(letter)
+    world.now += 0.9
+    world.carry(letter)
+    world.now += 0.2
+    take_and_serve(world, successor)
+    assert successor.is_serving
+
+
+@case(draw_no_line)
+def holder_dies_with_owner(world: model.World) -> None:
+    """A key is granted, then owner and holder die; its caller tries again.
+
+    Nobody is left to report the grant. The key may have run: the new owner
+    must not grant it again.
+    """
+    owner, successor, holder = world.nodes
+    model.start_serving(world, owner, successor)
+    key = world.make_key()
+    assert world.claim(owner, holder, key) is wire.ClaimVerdict.GRANTED
+    world.restart(owner)
+    world.restart(holder)
+    world.now += 2.0
+    take_and_serve(world, successor)
+    assert successor.table is not None
+    successor.table.has_reports = True
+    verdict = world.claim(successor, world.nodes[2], key)
+    world.check()
+    assert verdict is wire.ClaimVerdict.UNKNOWN
+
+
+@case(grant_early_keys)
+def callers_clock_is_ahead(world: model.World) -> None:
+    """A phone's clock runs two seconds ahead, and its key with it.
+
+    Granted at once, the key would look as if it had been issued after the
+    owner died, and be granted again.
+    """
+    owner, successor, holder = world.nodes
+    model.start_serving(world, owner, successor)
+    key = world.make_key(ahead_s=2.5)
+    world.claim(owner, holder, key)
+    world.restart(owner)
+    world.restart(holder)
+    world.now += 1.2
+    take_and_serve(world, successor)
+    assert successor.table is not None
+    successor.table.has_reports = True
+    world.now += 2.0
+    assert world.has_right(successor)
+    world.claim(successor, world.nodes[2], key)
+    world.check()
+
+
+@case(ignore_tickets)
+def release_is_told_twice(world: model.World) -> None:
+    """A release is repeated because its acknowledgement was lost.
+
+    In between the same daemon has claimed the key again, for the caller's
+    retry. The repeated release must not free the key under it.
+    """
+    owner, successor, holder = world.nodes
+    model.start_serving(world, owner, successor)
+    key = world.make_key()
+    world.claim(owner, holder, key)
+    end = world.release(world.granted[-1])
+    assert owner.table is not None
+    owner.table.end(end, holder.incarnation)
+    assert world.claim(owner, holder, key) is wire.ClaimVerdict.GRANTED
+    owner.table.end(end, holder.incarnation)
+    world.claim(owner, successor, key)
+    world.check()
+
+
+@case(believe_released_reports)
+def key_moved_on_before_owner_died(world: model.World) -> None:
+    """One daemon released a key, another got it; then the owner died.
+
+    The first reports "released" to the new owner, the second is cut off.
+    """
+    owner, successor, first = world.nodes
+    model.start_serving(world, owner, successor)
+    key = world.make_key()
+    world.claim(owner, first, key)
+    end = world.release(world.granted[-1])
+    assert owner.table is not None
+    owner.table.end(end, first.incarnation)
+    assert world.claim(owner, owner, key) is wire.ClaimVerdict.GRANTED
+    world.restart(owner)
+    world.now += 2.0
+    take_and_serve(world, successor)
+    world.report(successor, first)
+    assert successor.table is not None
+    successor.table.has_reports = True
+    world.claim(successor, first, key)
+    world.check()
+
+
+@case(ignore_tickets)
+def release_arrives_after_the_end(world: model.World) -> None:
+    """A finished key is reported as missing later, and must stay finished.
+
+    The holder has dropped the kept answer by then and cannot know better.
+    """
+    owner, successor, holder = world.nodes
+    model.start_serving(world, owner, successor)
+    key = world.make_key()
+    world.claim(owner, holder, key)
+    item = world.granted[-1]
+    release = world.release(item)
+    item.is_released = False
+    finished = dataclasses.replace(release, state=wire.ClaimState.FINISHED)
+    assert owner.table is not None
+    owner.table.end(finished, holder.incarnation)
+    owner.table.end(release, holder.incarnation)
+    world.claim(owner, successor, key)
+    world.check()
+
+
+class TestSafeguards(testtools.TestCase):
+    """Each story is safe, and broken without its safeguard."""
+
+
+def _make_safe_test(item: Case) -> ty.Callable[[testtools.TestCase], None]:
+    def test(self: testtools.TestCase) -> None:
+        item.story(_make_world(item))
+
+    return test
+
+
+def _make_bare_test(item: Case) -> ty.Callable[[testtools.TestCase], None]:
+    def test(self: testtools.TestCase) -> None:
+        item.remove(self)
+        self.assertRaises(model.Violation, item.story, _make_world(item))
+
+    return test
+
+
+def _make_world(item: Case) -> model.World:
+    needs_fourth = item.story is taker_dies_in_its_long_wait
+    return model.World(hosts=4 if needs_fourth else 3)
+
+
+for _name, _item in _cases.items():
+    setattr(TestSafeguards, f'test_{_name}', _make_safe_test(_item))
+    setattr(TestSafeguards, f'test_{_name}_bare', _make_bare_test(_item))
