--- a/tests/test_ownership_rules.py
+++ b/tests/test_ownership_rules.py
@@ -8,6 +8,7 @@
 import testtools
 
 from apricotlanding import ids
+from apricotlanding import records
 from apricotlanding import wire
 import ownershipmodel as model
 
@@ -56,7 +57,7 @@
 
     @stateful.rule(node=_NODES)
     def confirm(self, node: int) -> None:
-        mark = self.world.send(self.world.nodes[node], model.records.Mark())
+        mark = self.world.send(self.world.nodes[node], records.Mark())
         self._finish(node, mark)
 
     # Owners.
@@ -168,7 +169,7 @@
         # The same examples in every run: a verdict must not change by
         # itself. ``make explore`` draws fresh ones.
         count = int(os.environ.get('APRICOT_EXAMPLES', '300'))
-        stateful.run_state_machine_as_test(  # type: ignore[no-untyped-call]
+        stateful.run_state_machine_as_test(
             OwnershipMachine,
             settings=settings(
                 max_examples=count,
--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -103,7 +103,7 @@
 
 def accept_late_records(test: testtools.TestCase) -> None:
     class Forgetful(dict[ty.Any, int]):
-        def get(self, *_: ty.Any) -> int:  # type: ignore[override]
+        def get(self, *_: ty.Any) -> int:
             return 0
 
     begin = logfollower.LogFollower.__init__
