Fault matrix: every fault at every step, on real processes

Change: tests/faultmatrix.py, 18 faults by 8 steps from two tables, with expected last words stated beforehand, a TCP relay between daemons, witnesses in the back ends and at the caller.

In the harness: two systems side by side chose the same port; ports are now reserved by the block.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(BIN)/python demo/demo.py
 
 test: .venv/installed
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest --numprocesses 4
 
 check: .venv/installed
 	$(BIN)/ruff format --check .
@@ -39,3 +39,8 @@
 .PHONY: explore
 explore: .venv/installed
 	APRICOT_EXAMPLES=20000 $(BIN)/python -m pytest tests/test_ownership_rules.py
+
+# Every fault at every step; writes matrix-output/MATRIX.md.
+.PHONY: matrix
+matrix: .venv/installed
+	$(BIN)/python tests/run_matrix.py
--- a/demo/demo.py
+++ b/demo/demo.py
@@ -153,10 +153,10 @@
 
 def run_demo(system: deployment.Deployment) -> bool:
     """Run the whole demo; tell whether all was well."""
-    system.start_platform()
-    system.start_runners()
     for number in (1, 2, 3):
         system.add_daemon(f'entry-{number}', f'd{number}')
+    system.start_platform()
+    system.start_runners()
     system.publish_hosts()
     for host in system.daemons:
         system.start_daemon(host)
--- a/packages/apricotlandingd/src/apricotlandingd/attaching.py
+++ b/packages/apricotlandingd/src/apricotlandingd/attaching.py
@@ -55,7 +55,9 @@
             return self._describe_missing(reply)
         connection = self._peers.find(reply.holder)
         if connection is None:
-            return self._describe_unreachable(reply)
+            if self._peers.is_replaced(reply.holder):
+                return self._describe_dead(reply)
+            return self._describe_unreachable()
         try:
             async for part in connection.iterate(message, PART_TIMEOUT):
                 if isinstance(part, wire.Chunk):
@@ -66,7 +68,7 @@
                     return self._read_end(part, reply)
         except peerlink.PeerLost as error:
             eliot.log_message('attach:lost', error=str(error))
-        return self._describe_unreachable(reply)
+        return self._describe_unreachable()
 
     async def serve(
         self, message: wire.Attach, sender: ids.Incarnation
@@ -110,9 +112,17 @@
             return errors.make_problem(errors.Kind.ANSWER_GONE)
         return errors.make_problem(errors.Kind.NO_OWNER, _RETRY_AFTER)
 
-    def _describe_unreachable(self, reply: wire.ClaimReply) -> errors.Problem:
+    def _describe_dead(self, reply: wire.ClaimReply) -> errors.Problem:
         if reply.verdict is wire.ClaimVerdict.FINISHED:
             return errors.make_problem(errors.Kind.ANSWER_GONE)
+        return errors.make_problem(
+            errors.Kind.OUTCOME_UNKNOWN,
+            detail='the daemon that held it has been restarted',
+        )
+
+    def _describe_unreachable(self) -> errors.Problem:
+        # Finished or not: the answer may be kept there, and is not lost
+        # because we are cut off from it.
         return errors.make_problem(
             errors.Kind.HOLDER_UNREACHABLE, claims.RETRY_AFTER
         )
--- a/packages/apricotlandingd/src/apricotlandingd/peers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/peers.py
@@ -100,6 +100,14 @@
             found = self._accepted.get(incarnation)
         return found
 
+    def is_replaced(self, incarnation: ids.Incarnation) -> bool:
+        """Tell whether another incarnation runs on its host by now."""
+        host = ids.parse_host(incarnation)
+        return any(
+            item.host == host and item.incarnation != incarnation
+            for item in self._dialed.values()
+        )
+
     def list_dialed(self) -> list[peerlink.Connection]:
         """Return the connections that this daemon keeps heartbeats on."""
         return list(self._dialed.values())
--- a/packages/apricotstandins/src/apricotstandins/__main__.py
+++ b/packages/apricotstandins/src/apricotstandins/__main__.py
@@ -3,6 +3,7 @@
 python -m apricotstandins platform --log 127.0.0.1:1 --hosts 127.0.0.1:2
 python -m apricotstandins engine --name p1 --listen 127.0.0.1:3
 python -m apricotstandins service --name m1 --listen 127.0.0.1:4
+python -m apricotstandins relay --control 127.0.0.1:5 a=IP:PORT=IP:PORT
 """
 
 import collections.abc
@@ -18,6 +19,7 @@
 from apricotstandins import hostservice
 from apricotstandins import logservice
 from apricotstandins import plainservice
+from apricotstandins import tcprelay
 
 Job = collections.abc.Callable[
     [], collections.abc.Coroutine[ty.Any, ty.Any, None]
@@ -49,13 +51,27 @@
 
 @main.command()
 @click.option('--log', required=True, help='Address of the log, IP:PORT.')
-@click.option('--hosts', required=True, help='Address of the host list.')
-def platform(log: str, hosts: str) -> None:
-    """Start the platform's log and host list."""
-    _run(
-        _make_server(logservice.LogService(), log),
-        _make_server(hostservice.HostService(), hosts),
-    )
+@click.option(
+    '--hosts',
+    required=True,
+    multiple=True,
+    help='Address of a host list; each one given is a list of its own.',
+)
+def platform(log: str, hosts: tuple[str, ...]) -> None:
+    """Start the platform's log and host lists."""
+    lists = [
+        _make_server(hostservice.HostService(), listen) for listen in hosts
+    ]
+    _run(_make_server(logservice.LogService(), log), *lists)
+
+
+@main.command()
+@click.option('--control', required=True, help='Address for faults.')
+@click.argument('routes', nargs=-1)
+def relay(control: str, routes: tuple[str, ...]) -> None:
+    """Start a TCP relay for ROUTES, each NAME=LISTEN=TARGET."""
+    app = tcprelay.Relay([tcprelay.parse_route(text) for text in routes])
+    _run(_make_server(app, control), app.run)
 
 
 @main.command(name='engine')
--- a/packages/apricotstandins/src/apricotstandins/deployment.py
+++ b/packages/apricotstandins/src/apricotstandins/deployment.py
@@ -63,12 +63,9 @@
     callers: str
     peers: str
     operators: str
-    # What other daemons are told; differs from ``peers`` behind a relay.
-    advertised: str
+    host_list: str
     process: processes.Process | None = None
     state: str = 'live'
-    # Address of the log for this daemon; differs behind a relay.
-    log: str = ''
 
 
 @ty.final
@@ -84,7 +81,12 @@
         self.directory = directory
         self.runners = list(runners)
         self.log = _make_address()
-        self.host_list = _make_address()
+        # With relays each daemon has a host list of its own, on which the
+        # others' addresses are those of relays between the two.
+        self.has_relays = False
+        self.relay_control = _make_address()
+        # Relay addresses by ``source>target``; a target may be ``log``.
+        self.relays: dict[str, str] = {}
         self.runner_addresses = {
             plan.name: _make_address() for plan in self.runners
         }
@@ -106,14 +108,16 @@
     # Starting.
 
     def start_platform(self) -> None:
-        """Start log and host list."""
-        self._start(
-            'platform',
-            ['apricotstandins', 'platform']
-            + ['--log', self.log, '--hosts', self.host_list],
-        )
+        """Start log and host lists, and relays if there are any."""
+        arguments = ['apricotstandins', 'platform', '--log', self.log]
+        for place in self.daemons.values():
+            arguments += ['--hosts', place.host_list]
+        self._start('platform', arguments)
         self.wait_for_http(self.log, '/standin/faults')
-        self.wait_for_http(self.host_list, '/hosts')
+        for place in self.daemons.values():
+            self.wait_for_http(place.host_list, '/hosts')
+        if self.has_relays:
+            self._start_relays()
 
     def start_runners(self) -> None:
         """Start all back ends."""
@@ -137,15 +141,13 @@
 
     def add_daemon(self, host: str, domain: str) -> DaemonPlace:
         """Give a daemon its addresses."""
-        peers = _make_address()
         place = DaemonPlace(
             host,
             domain,
-            _make_address(),
-            peers,
-            _make_address(),
-            advertised=peers,
-            log=self.log,
+            callers=_make_address(),
+            peers=_make_address(),
+            operators=_make_address(),
+            host_list=_make_address(),
         )
         self.daemons[host] = place
         return place
@@ -161,10 +163,10 @@
 
     def start_all(self, hosts: int = 3) -> None:
         """Start everything and put a first bundle in force."""
-        self.start_platform()
-        self.start_runners()
         for number in range(1, hosts + 1):
             self.add_daemon(f'entry-{number}', f'd{number}')
+        self.start_platform()
+        self.start_runners()
         self.publish_hosts()
         for host in self.daemons:
             self.start_daemon(host)
@@ -294,30 +296,63 @@
         _call_json(address, 'POST', '/standin/faults', faults)
 
     def publish_hosts(self) -> None:
-        """Write the host list as it is now."""
-        hosts = [
-            {
-                'name': place.host,
-                'state': place.state,
-                'domain': place.domain,
-                'peers': place.advertised,
-            }
-            for place in self.daemons.values()
-        ]
-        hosts += [
-            {'name': plan.name, 'state': 'live', 'domain': plan.domain}
-            for plan in self.runners
-        ]
-        _call_json(self.host_list, 'POST', '/standin/hosts', {'hosts': hosts})
+        """Write the host lists as they are now."""
+        for viewer in self.daemons.values():
+            hosts: list[dict[str, ty.Any]] = [
+                {
+                    'name': place.host,
+                    'state': place.state,
+                    'domain': place.domain,
+                    'peers': self._find_peer_address(viewer, place),
+                }
+                for place in self.daemons.values()
+            ]
+            hosts += [
+                {'name': plan.name, 'state': 'live', 'domain': plan.domain}
+                for plan in self.runners
+            ]
+            _call_json(
+                viewer.host_list, 'POST', '/standin/hosts', {'hosts': hosts}
+            )
 
     def set_host_state(self, name: str, state: str) -> None:
-        """Change a host's state on the list: live, leaving or gone."""
-        _call_json(
-            self.host_list,
-            'POST',
-            '/standin/state',
-            {'name': name, 'state': state},
-        )
+        """Change a host's state on the lists: live, leaving or gone."""
+        change = {'name': name, 'state': state}
+        for viewer in self.daemons.values():
+            _call_json(viewer.host_list, 'POST', '/standin/state', change)
+
+    def set_host_lag(self, seconds: float) -> None:
+        """Let later changes of the lists show after so many seconds."""
+        for viewer in self.daemons.values():
+            _call_json(
+                viewer.host_list, 'POST', '/standin/lag', {'lag_s': seconds}
+            )
+
+    def set_links(self, **faults: dict[str, ty.Any]) -> None:
+        """Set faults of relays by name, ``entry-1>entry-2``."""
+        _call_json(self.relay_control, 'POST', '/standin/routes', faults)
+
+    def cut_host(
+        self, host: str, is_cut: bool, is_one_way: bool = False
+    ) -> None:
+        """Cut a host off from all other daemons, or heal it."""
+        faults: dict[str, dict[str, ty.Any]] = {}
+        for name in self.relays:
+            source, _, target = name.partition('>')
+            if host not in (source, target) or target == 'log':
+                continue
+            is_from = source == host
+            # One way: nothing that the host sends arrives.
+            faults[name] = {
+                'cut_forward': is_cut and (is_from or not is_one_way),
+                'cut_back': is_cut and (not is_from or not is_one_way),
+            }
+        self.set_links(**faults)
+
+    def cut_log(self, host: str, is_cut: bool) -> None:
+        """Cut a host off from the log only, or heal it."""
+        fault = {'cut_forward': is_cut, 'cut_back': is_cut}
+        self.set_links(**{f'{host}>log': fault})
 
     def find_owner(self, shard: str, host: str | None = None) -> str:
         """Return who serves a shard, as a daemon sees it; '' if nobody."""
@@ -329,6 +364,28 @@
 
     # Within.
 
+    def _start_relays(self) -> None:
+        arguments = ['apricotstandins', 'relay']
+        arguments += ['--control', self.relay_control]
+        for source in self.daemons.values():
+            targets = {
+                place.host: place.peers
+                for place in self.daemons.values()
+                if place is not source
+            }
+            for target, address in (targets | {'log': self.log}).items():
+                name = f'{source.host}>{target}'
+                self.relays[name] = _make_address()
+                arguments.append(f'{name}={self.relays[name]}={address}')
+        self._start('relay', arguments)
+        self.wait_for_http(self.relay_control, '/standin/routes')
+
+    def _find_peer_address(
+        self, viewer: DaemonPlace, place: DaemonPlace
+    ) -> str:
+        name = f'{viewer.host}>{place.host}'
+        return self.relays.get(name, place.peers)
+
     def _start(self, name: str, arguments: list[str]) -> processes.Process:
         process = processes.Process(
             name, arguments, self.directory / f'{name}.log'
@@ -344,8 +401,8 @@
             'callers': place.callers,
             'peers': place.peers,
             'operators_listen': place.operators,
-            'log': place.log,
-            'host_list': self.host_list,
+            'log': self.relays.get(f'{place.host}>log', self.log),
+            'host_list': place.host_list,
             'peer_key': PEER_KEY,
             'operator_token_sha256': [bundle.hash_token(OPERATOR_TOKEN)],
             'operators': [
--- a/packages/apricotstandins/src/apricotstandins/engine.py
+++ b/packages/apricotstandins/src/apricotstandins/engine.py
@@ -124,6 +124,8 @@
         self.speed = speed
         self.checks_fencing = checks_fencing
         self.faults = Faults()
+        # Requests taken and prefills begun, by key.
+        self.accepted: collections.Counter[str] = collections.Counter()
         self.executions: collections.Counter[str] = collections.Counter()
         self.prefill_computed = 0
         # Prefill tokens of requests that were cancelled or that a cut kept
@@ -302,6 +304,7 @@
             max_tokens=int(value['max_tokens']),
         )
         self._works[work.request] = work
+        self.accepted[work.key] += 1
         self._waiting.append(work)
         arrival, self._arrival = self._arrival, anyio.Event()
         arrival.set()
@@ -402,6 +405,7 @@
     def _show_witness(self) -> dict[str, ty.Any]:
         return {
             'engine': self.name,
+            'accepted': dict(self.accepted),
             'executions': dict(self.executions),
             'prefill_computed': self.prefill_computed,
             'prefill_wasted': self.prefill_wasted,
--- a/packages/apricotstandins/src/apricotstandins/processes.py
+++ b/packages/apricotstandins/src/apricotstandins/processes.py
@@ -4,7 +4,6 @@
 Output goes to a file for each process, which a failing test can show.
 """
 
-import os
 import pathlib
 import random
 import signal
@@ -19,8 +18,12 @@
 # Below the range from which Linux takes ports for outgoing connections.
 _FIRST_PORT = 15_000
 _LAST_PORT = 32_000
-_draw = random.Random(os.getpid() ^ time.time_ns())
-_taken: set[int] = set()
+# Ports are handed out in blocks. A process keeps the first port of its block
+# bound for as long as it lives, so that tests which run side by side never
+# choose the same ports.
+_BLOCK = 100
+_guards: list[socket.socket] = []
+_free: list[int] = []
 
 # Seconds that anything here may take before it counts as failed; generous,
 # for machines that are busy.
@@ -30,16 +33,34 @@
 def find_port() -> int:
     """Return a loopback port that is free and was not returned before."""
     while True:
-        port = _draw.randrange(_FIRST_PORT, _LAST_PORT)
-        if port in _taken:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        _taken.add(port)
-        return port
+        if not _free:
+            _free.extend(_reserve_block())
+        port = _free.pop()
+        if _try_bind(port) is not None:
+            return port
+
+
+def _reserve_block() -> list[int]:
+    starts = list(range(_FIRST_PORT, _LAST_PORT, _BLOCK))
+    random.shuffle(starts)
+    for start in starts:
+        guard = _try_bind(start, is_kept=True)
+        if guard is not None:
+            _guards.append(guard)
+            return list(range(start + 1, start + _BLOCK))
+    raise OSError('every block of ports is taken')
+
+
+def _try_bind(port: int, is_kept: bool = False) -> socket.socket | None:
+    probe = socket.socket()
+    try:
+        probe.bind(('127.0.0.1', port))
+    except OSError:
+        probe.close()
+        return None
+    if not is_kept:
+        probe.close()
+    return probe
 
 
 def wait_until(
--- /dev/null
+++ b/packages/apricotstandins/src/apricotstandins/tcprelay.py
@@ -0,0 +1,119 @@
+"""A TCP relay that can cut and slow down connections, for failure tests.
+
+One process relays any number of routes, each from a listening address to a
+target. ``POST /standin/routes`` sets the faults of some of them. A route that
+is cut keeps its connections and what was sent: after the cut everything
+arrives, late, as it does when a network heals.
+"""
+
+import dataclasses
+import json
+import typing as ty
+
+import anyio
+import anyio.abc
+
+from apricotlanding import addresses
+from apricotlanding import asgi
+
+__all__ = ['Relay', 'parse_route']
+
+_PART = 65_536
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Route:
+    """One relayed address."""
+
+    name: str
+    listen: addresses.Address
+    target: addresses.Address
+    # What goes wrong now, by direction.
+    is_cut_forward: bool = False
+    is_cut_back: bool = False
+    # Added to each part, in seconds.
+    delay_s: float = 0.0
+    healed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def change(self, faults: dict[str, ty.Any]) -> None:
+        self.is_cut_forward = faults.get('cut_forward', False)
+        self.is_cut_back = faults.get('cut_back', False)
+        self.delay_s = faults.get('delay_s', 0.0)
+        healed, self.healed = self.healed, anyio.Event()
+        healed.set()
+
+    async def pass_cut(self, is_forward: bool) -> None:
+        """Wait while this direction is cut."""
+        while self.is_cut_forward if is_forward else self.is_cut_back:
+            await self.healed.wait()
+
+
+def parse_route(text: str) -> Route:
+    """Return the route in ``NAME=LISTEN=TARGET``."""
+    name, listen, target = text.split('=')
+    return Route(
+        name,
+        addresses.parse_address(listen),
+        addresses.parse_address(target),
+    )
+
+
+@ty.final
+class Relay:
+    """All routes of one process, and their control as ASGI."""
+
+    def __init__(self, routes: list[Route]) -> None:
+        """Prepare; ``run`` listens."""
+        self._routes = {route.name: route for route in routes}
+
+    async def run(self) -> None:
+        """Relay until cancelled."""
+        async with anyio.create_task_group() as group:
+            for route in self._routes.values():
+                listener = await anyio.create_tcp_listener(
+                    local_host=route.listen.host, local_port=route.listen.port
+                )
+                group.start_soon(listener.serve, self._make_handler(route))
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Set the faults of the routes that the body names."""
+        body = await asgi.read_body(receive, 1024 * 1024)
+        for name, faults in json.loads(body or b'{}').items():
+            self._routes[name].change(faults)
+        await asgi.send_json(send, 200, sorted(self._routes))
+
+    def _make_handler(self, route: Route) -> ty.Any:
+        async def handle(near: anyio.abc.SocketStream) -> None:
+            async with near:
+                await route.pass_cut(is_forward=True)
+                try:
+                    far = await anyio.connect_tcp(
+                        route.target.host, route.target.port
+                    )
+                except OSError:
+                    return
+                async with far, anyio.create_task_group() as group:
+                    group.start_soon(_pump, route, near, far, True, group)
+                    group.start_soon(_pump, route, far, near, False, group)
+
+        return handle
+
+
+async def _pump(
+    route: Route,
+    source: anyio.abc.ByteStream,
+    sink: anyio.abc.ByteStream,
+    is_forward: bool,
+    group: anyio.abc.TaskGroup,
+) -> None:
+    try:
+        while True:
+            part = await source.receive(_PART)
+            if route.delay_s > 0.0:
+                await anyio.sleep(route.delay_s)
+            await route.pass_cut(is_forward)
+            await sink.send(part)
+    except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/faultmatrix.py
@@ -0,0 +1,632 @@
+"""The fault matrix: every fault at every step of a request.
+
+A *row* is one fault; it runs its cells one after the other on one system of
+real processes, which has to recover in between. In each cell a caller posts
+one at-most-once request and behaves as callers should: it tries again under
+the same key, through another daemon, until it is told how the request ended.
+The fault strikes at the cell's step and is healed a little later.
+
+``EXPECTED`` states beforehand which final words are right. Whatever they
+are, in every cell: the key has run at most once; nobody was told "not run"
+of a key that had run; a complete answer was whole and its own; the last word
+came before the deadline; and no daemon's bundle version fell.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import signal
+import threading
+import time
+import typing as ty
+
+from apricotlanding import ids
+from apricotlandingd import admission
+from apricotstandins import callers
+from apricotstandins import deployment
+from apricotstandins import processes
+import systems
+
+TOKENS = 30
+# Seconds in which the caller must have its last word.
+DEADLINE = 25.0
+# How long a fault lasts, in seconds: longer than a lease.
+DURATION = 2.5
+# How long a caller asks again for a holder that cannot be reached.
+HOLDER_PATIENCE = 8.0
+# Longer than the time after a takeover in which fresh keys may be unknown.
+SETTLE = 1.0
+# Makes a decode step last about a tenth of a second.
+SLOW = 20.0
+
+COMPLETE = frozenset({'complete'})
+UNKNOWN = frozenset({'unknown'})
+EITHER = COMPLETE | UNKNOWN
+
+Act = collections.abc.Callable[['Cell'], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    strike: Act
+    heal: Act
+
+
+faults: dict[str, Fault] = {}
+steps: dict[str, Act] = {}
+
+
+def fault(
+    name: str, heal: Act | None = None
+) -> collections.abc.Callable[[Act], Act]:
+    def file_fault(strike: Act) -> Act:
+        faults[name] = Fault(strike, heal or (lambda cell: None))
+        return strike
+
+    return file_fault
+
+
+def step(name: str) -> collections.abc.Callable[[Act], Act]:
+    def file_step(act: Act) -> Act:
+        steps[name] = act
+        return act
+
+    return file_step
+
+
+class Caller(threading.Thread):
+    """Posts one request until it knows how it ended."""
+
+    def __init__(self, system: deployment.Deployment, key: str) -> None:
+        super().__init__(daemon=True)
+        self.system = system
+        self.key = key
+        self.hosts: list[str] = []
+        self.replies: list[callers.Reply] = []
+        # What a reply said that the back ends' witnesses contradict.
+        self.untrue: list[str] = []
+        self.total_s = 0.0
+
+    def run(self) -> None:
+        started = time.monotonic()
+        first: float | None = None
+        turn = 0
+        while time.monotonic() < started + DEADLINE:
+            host = self.hosts[turn % len(self.hosts)]
+            turn += 1
+            reply = self.post(host, started + DEADLINE - time.monotonic())
+            self.replies.append(reply)
+            if reply.outcome in EITHER and reply.code != 'APL303':
+                break
+            if reply.code == 'APL303':
+                # Its holder may come back; after a while the caller takes
+                # "unknown" for its answer.
+                first = first or time.monotonic()
+                if time.monotonic() > first + HOLDER_PATIENCE:
+                    break
+            if reply.outcome == 'not-run':
+                self._check_not_run(reply)
+            time.sleep(0.3)
+        self.total_s = time.monotonic() - started
+
+    def post(self, host: str, seconds: float) -> callers.Reply:
+        return callers.post_request(
+            self.system.daemons[host].callers,
+            'rebuild',
+            systems.FESTIN,
+            {'prompt': systems.make_prompt(64), 'max_tokens': TOKENS},
+            self.key,
+            deadline_ms=max(int(seconds * 1000), 1),
+            timeout=seconds + 1.0,
+        )
+
+    def find_last(self) -> callers.Reply:
+        # A connection that broke says nothing.
+        for reply in reversed(self.replies):
+            if reply.outcome != 'cut':
+                return reply
+        return self.replies[-1]
+
+    def _check_not_run(self, reply: callers.Reply) -> None:
+        count = count_executions(self.system, self.key)
+        if count > 0:
+            self.untrue.append(f'not-run ({reply.code}) after {count} runs')
+
+
+class Cell:
+    """One fault at one step."""
+
+    def __init__(
+        self, system: deployment.Deployment, name: str, draw: random.Random
+    ) -> None:
+        self.system = system
+        self.fault = faults[name]
+        self.draw = draw
+        self.hosts = list(system.daemons)
+        self.entry = draw.choice(self.hosts)
+        time.sleep(SETTLE)
+        self.key, self.owner = self._choose_key()
+        self.caller = Caller(system, self.key)
+        others = [host for host in self.hosts if host != self.entry]
+        draw.shuffle(others)
+        self.others = others
+        self.caller.hosts = [self.entry, *others]
+        self.is_struck = False
+
+    def strike(self) -> None:
+        self.fault.strike(self)
+        self.is_struck = True
+
+    def run(self, name: str) -> None:
+        """Run the step, let the fault last, heal, and wait for the end."""
+        try:
+            steps[name](self)
+            time.sleep(DURATION)
+        finally:
+            self.fault.heal(self)
+            self.calm()
+        self.caller.join(2 * DEADLINE)
+        if self.caller.is_alive():
+            raise AssertionError('the caller has no last word')
+        if name == 'drain':
+            self.process(self.entry).wait()
+        self.restart_dead()
+        self.system.wait_ready()
+
+    def calm(self) -> None:
+        for plan in self.system.runners:
+            if plan.kind == 'engine':
+                self.system.set_faults(
+                    plan.name, straggle=1.0, is_frozen=False
+                )
+
+    def restart_dead(self) -> None:
+        for host, place in self.system.daemons.items():
+            assert place.process is not None
+            if not place.process.is_running():
+                self.system.start_daemon(host)
+                self.system.wait_for_http(place.callers, '/healthz')
+
+    def slow_engines(self) -> None:
+        for plan in self.system.runners:
+            if plan.kind == 'engine':
+                self.system.set_faults(plan.name, straggle=SLOW)
+
+    def freeze_engines(self, is_frozen: bool) -> None:
+        for plan in self.system.runners:
+            address = self.system.runner_addresses[plan.name]
+            probe = callers.call_http(address, 'GET', '/standin/witness')
+            # One that the fault has killed is restarted without faults.
+            if plan.kind == 'engine' and probe.status == 200:
+                self.system.set_faults(plan.name, is_frozen=is_frozen)
+
+    def hold_grants(self, is_held: bool) -> None:
+        state = 'leaving' if is_held else 'live'
+        for plan in self.system.runners:
+            if plan.kind == 'engine':
+                self.system.set_host_state(plan.name, state)
+
+    def wait_started(self) -> None:
+        processes.wait_until(
+            lambda: count_executions(self.system, self.key) > 0,
+            'the request runs',
+        )
+        time.sleep(0.3)
+
+    def wait_open(self) -> None:
+        processes.wait_until(
+            lambda: (
+                self.system.read_status(self.entry).get('open_requests') == 1
+            ),
+            'the request is open',
+        )
+        time.sleep(0.2)
+
+    def process(self, host: str) -> processes.Process:
+        found = self.system.daemons[host].process
+        assert found is not None
+        return found
+
+    def _choose_key(self) -> tuple[str, str]:
+        # A key whose claim owner is not the entry daemon.
+        shards = self.system.ownership['claim_shards']
+        while True:
+            key = callers.make_key()
+            shard = admission.find_shard(
+                ids.Organisation('festin'), ids.Key(key), shards
+            )
+            owner = self.system.find_owner(str(shard), self.entry)
+            if owner not in ('', self.entry):
+                return key, owner
+            if all(
+                self.system.find_owner(f'claims/{number}', self.entry)
+                == self.entry
+                for number in range(shards)
+            ):
+                # It has come to own them all: enter elsewhere.
+                self.entry = next(
+                    host for host in self.hosts if host != self.entry
+                )
+
+
+def count_executions(system: deployment.Deployment, key: str) -> int:
+    """Return how often a key has run; back ends that are away count 0.
+
+    The engines' count is taken before they do any work for the key.
+    """
+    total = 0
+    for plan in system.runners:
+        address = system.runner_addresses[plan.name]
+        reply = callers.call_http(
+            address, 'GET', '/standin/witness', timeout=5.0
+        )
+        if reply.status == 200:
+            found = reply.read_lines()[0]['executions']
+            total += found.get(key, 0)
+    return total
+
+
+# Steps.
+
+
+@step('before-claim')
+def strike_before_claim(cell: Cell) -> None:
+    cell.strike()
+    cell.caller.start()
+
+
+@step('before-grant')
+def strike_before_grant(cell: Cell) -> None:
+    cell.hold_grants(True)
+    time.sleep(1.2)
+    cell.caller.start()
+    cell.wait_open()
+    cell.strike()
+    cell.hold_grants(False)
+
+
+@step('before-first-byte')
+def strike_before_first_byte(cell: Cell) -> None:
+    cell.freeze_engines(True)
+    cell.caller.start()
+    processes.wait_until(lambda: _is_accepted(cell), 'the engine has it')
+    cell.strike()
+    cell.freeze_engines(False)
+
+
+@step('mid-stream')
+def strike_mid_stream(cell: Cell) -> None:
+    cell.slow_engines()
+    cell.caller.start()
+    cell.wait_started()
+    cell.strike()
+
+
+@step('after-end')
+def strike_after_end(cell: Cell) -> None:
+    # The caller goes away while it waits and comes back elsewhere.
+    address = cell.system.daemons[cell.entry].callers
+    cell.freeze_engines(True)
+    callers.post_request(
+        address,
+        'rebuild',
+        systems.FESTIN,
+        {'prompt': systems.make_prompt(64), 'max_tokens': TOKENS},
+        cell.key,
+        deadline_ms=int(DEADLINE * 1000),
+        timeout=0.5,
+    )
+    cell.freeze_engines(False)
+    cell.wait_started()
+    processes.wait_until(
+        lambda: cell.system.read_status(cell.entry).get('open_requests') == 0,
+        'the request has ended',
+    )
+    cell.strike()
+    cell.caller.hosts = cell.others
+    cell.caller.start()
+
+
+@step('takeover')
+def strike_in_takeover(cell: Cell) -> None:
+    cell.process(cell.owner).kill()
+    cell.caller.start()
+    time.sleep(0.5)
+    cell.strike()
+
+
+@step('drain')
+def strike_in_drain(cell: Cell) -> None:
+    cell.slow_engines()
+    cell.caller.start()
+    cell.wait_started()
+    cell.process(cell.entry).send(signal.SIGTERM)
+    time.sleep(0.2)
+    cell.strike()
+
+
+@step('roll-out')
+def strike_in_roll_out(cell: Cell) -> None:
+    cell.slow_engines()
+    cell.caller.start()
+    cell.wait_started()
+    submitter = threading.Thread(target=_submit_next, args=[cell])
+    submitter.start()
+    cell.strike()
+    submitter.join()
+
+
+def _is_accepted(cell: Cell) -> bool:
+    return any(
+        cell.key in cell.system.read_witness(plan.name)['accepted']
+        for plan in cell.system.runners
+        if plan.kind == 'engine'
+    )
+
+
+def _submit_next(cell: Cell) -> None:
+    host = next(name for name in cell.others if name != cell.owner)
+    version = cell.system.read_status(host).get('bundle', 0)
+    cell.system.submit(
+        cell.system.make_bundle(version + 1, version), host=host
+    )
+
+
+# Faults.
+
+
+def resume_all(cell: Cell) -> None:
+    for place in cell.system.daemons.values():
+        if place.process is not None:
+            place.process.resume()
+
+
+def heal_links(cell: Cell) -> None:
+    for host in cell.hosts:
+        cell.system.cut_host(host, False)
+        cell.system.cut_log(host, False)
+
+
+def heal_log(cell: Cell) -> None:
+    cell.system.set_faults(
+        'log', is_out=False, delay_s=0.0, lost_replies=0, late_appends=0
+    )
+
+
+def restart_runners(cell: Cell) -> None:
+    for plan in cell.system.runners:
+        address = cell.system.runner_addresses[plan.name]
+        if callers.call_http(address, 'GET', '/standin/witness').status == 0:
+            cell.system.start_runner(plan)
+            cell.system.wait_for_http(address, '/standin/witness')
+
+
+@fault('kill-entry')
+def kill_entry(cell: Cell) -> None:
+    cell.process(cell.entry).kill()
+
+
+@fault('kill-owner')
+def kill_owner(cell: Cell) -> None:
+    cell.process(cell.owner).kill()
+
+
+@fault('freeze-entry', resume_all)
+def freeze_entry(cell: Cell) -> None:
+    cell.process(cell.entry).pause()
+
+
+@fault('freeze-owner', resume_all)
+def freeze_owner(cell: Cell) -> None:
+    cell.process(cell.owner).pause()
+
+
+@fault('cut-entry', heal_links)
+def cut_entry(cell: Cell) -> None:
+    cell.system.cut_host(cell.entry, True)
+
+
+@fault('cut-entry-one-way', heal_links)
+def cut_entry_one_way(cell: Cell) -> None:
+    cell.system.cut_host(cell.entry, True, is_one_way=True)
+
+
+@fault('cut-owner', heal_links)
+def cut_owner(cell: Cell) -> None:
+    cell.system.cut_host(cell.owner, True)
+
+
+@fault('cut-owner-log', heal_links)
+def cut_owner_log(cell: Cell) -> None:
+    cell.system.cut_log(cell.owner, True)
+
+
+@fault('slow-links', heal_links)
+def slow_links(cell: Cell) -> None:
+    cell.system.set_links(
+        **{
+            name: {'delay_s': 0.1}
+            for name in cell.system.relays
+            if cell.entry in name
+        }
+    )
+
+
+@fault('log-out', heal_log)
+def stop_log(cell: Cell) -> None:
+    cell.system.set_faults('log', is_out=True)
+
+
+@fault('log-slow', heal_log)
+def slow_log(cell: Cell) -> None:
+    cell.system.set_faults('log', delay_s=0.4)
+
+
+@fault('log-replies-lost', heal_log)
+def lose_replies(cell: Cell) -> None:
+    cell.system.set_faults('log', lost_replies=3)
+
+
+@fault('log-late', heal_log)
+def delay_appends(cell: Cell) -> None:
+    cell.system.set_faults('log', late_appends=2, late_s=1.0)
+
+
+@fault('straggler')
+def slow_down_engine(cell: Cell) -> None:
+    cell.system.set_faults('planner-1', straggle=2 * SLOW)
+
+
+@fault('kill-runner', restart_runners)
+def kill_runner(cell: Cell) -> None:
+    for plan in cell.system.runners:
+        if plan.kind != 'engine':
+            continue
+        if cell.key in cell.system.read_witness(plan.name)['accepted']:
+            break
+    found = [
+        process
+        for name, process in cell.system.processes.items()
+        if name.startswith(f'{plan.name}/') and process.is_running()
+    ]
+    found[0].kill()
+
+
+@fault('cut-stream')
+def cut_stream(cell: Cell) -> None:
+    for plan in cell.system.runners:
+        if plan.kind == 'engine':
+            cell.system.set_faults(plan.name, cut_streams=1, cut_after=3)
+
+
+@fault('retry-elsewhere')
+def retry_elsewhere(cell: Cell) -> None:
+    second = Caller(cell.system, cell.key)
+    second.hosts = list(reversed(cell.others))
+    second.start()
+
+
+@fault('operators-race')
+def race_operators(cell: Cell) -> None:
+    host = cell.others[-1]
+    version = cell.system.read_status(host).get('bundle', 0)
+    threads = [
+        threading.Thread(
+            target=cell.system.submit,
+            args=[cell.system.make_bundle(version + 1, version)],
+            kwargs={'host': host, 'author': author},
+        )
+        for author in (deployment.AUTHOR, deployment.APPROVER)
+    ]
+    for thread in threads:
+        thread.start()
+
+
+# What the last word may be. A request whose holder dies is unknown: nobody
+# else knows how far it had come. One whose key was issued before a takeover
+# may be unknown, if nobody reports it.
+EXPECTED: ty.Final[dict[tuple[str, str], frozenset[str]]] = {
+    ('kill-entry', 'before-grant'): UNKNOWN,
+    ('kill-entry', 'before-first-byte'): UNKNOWN,
+    ('kill-entry', 'mid-stream'): UNKNOWN,
+    ('kill-entry', 'after-end'): UNKNOWN,
+    ('kill-entry', 'drain'): UNKNOWN,
+    ('kill-entry', 'roll-out'): UNKNOWN,
+    ('kill-entry', 'takeover'): EITHER,
+    ('kill-owner', 'before-claim'): EITHER,
+    ('freeze-owner', 'before-claim'): EITHER,
+    ('cut-owner', 'before-claim'): EITHER,
+    ('cut-entry', 'before-claim'): EITHER,
+    ('cut-entry-one-way', 'before-claim'): EITHER,
+    ('cut-entry', 'after-end'): EITHER,
+    ('cut-entry-one-way', 'after-end'): EITHER,
+    ('freeze-entry', 'after-end'): EITHER,
+    ('freeze-entry', 'before-claim'): EITHER,
+    ('freeze-entry', 'drain'): EITHER,
+    # The engine forgets what it ran.
+    ('kill-runner', 'before-first-byte'): EITHER,
+    ('kill-runner', 'mid-stream'): EITHER,
+    ('kill-runner', 'drain'): EITHER,
+    ('kill-runner', 'roll-out'): EITHER,
+}
+
+
+def find_expected(fault_name: str, step_name: str) -> frozenset[str]:
+    if step_name == 'takeover':
+        return EITHER
+    return EXPECTED.get((fault_name, step_name), COMPLETE)
+
+
+class VersionWatch(threading.Thread):
+    """Looks for a daemon whose bundle version falls."""
+
+    def __init__(self, system: deployment.Deployment) -> None:
+        super().__init__(daemon=True)
+        self.system = system
+        self.highest: dict[str, int] = {}
+        self.fallen: list[str] = []
+        self.is_over = threading.Event()
+
+    def run(self) -> None:
+        while not self.is_over.wait(0.3):
+            for host in list(self.system.daemons):
+                status = self.system.read_status(host)
+                if not status:
+                    continue
+                name = status['incarnation']
+                version = status['bundle']
+                if version < self.highest.get(name, 0):
+                    self.fallen.append(f'{name} fell to {version}')
+                self.highest[name] = version
+
+
+def run_cell(
+    system: deployment.Deployment, fault_name: str, step_name: str, seed: int
+) -> list[str]:
+    """Run one cell; return what was wrong."""
+    cell = Cell(system, fault_name, random.Random(f'{seed}{step_name}'))
+    cell.run(step_name)
+    caller = cell.caller
+    wrong = list(caller.untrue)
+    last = caller.find_last()
+    if last.outcome not in find_expected(fault_name, step_name):
+        wrong.append(f'last word {last.outcome} {last.code}')
+    if caller.total_s > DEADLINE + 2.0:
+        wrong.append(f'last word after {caller.total_s:.1f} s')
+    if last.outcome == 'complete' and not last.is_whole(cell.key, TOKENS):
+        wrong.append('the answer is not whole or not its own')
+    count = count_executions(system, cell.key)
+    if count > 1:
+        wrong.append(f'ran {count} times')
+    if last.outcome == 'not-run' and count > 0:
+        wrong.append('told not-run, and ran')
+    if last.outcome == 'complete' and count == 0:
+        if fault_name != 'kill-runner':
+            wrong.append('told complete, and did not run')
+    words = [
+        f'{reply.outcome}/{reply.code or reply.error[:60]}'
+        for reply in caller.replies
+    ]
+    return [f'{text} (seed {seed}, was told {words})' for text in wrong]
+
+
+def run_row(
+    system: deployment.Deployment,
+    fault_name: str,
+    step_names: collections.abc.Iterable[str],
+    seed: int,
+) -> dict[str, list[str]]:
+    """Run a fault at many steps; return what was wrong, by step."""
+    watch = VersionWatch(system)
+    watch.start()
+    results: dict[str, list[str]] = {}
+    for name in step_names:
+        try:
+            results[name] = run_cell(system, fault_name, name, seed)
+        except AssertionError as error:
+            results[name] = [f'{error} (seed {seed})']
+    watch.is_over.set()
+    watch.join()
+    if watch.fallen:
+        results['versions'] = watch.fallen
+    return results
