--- a/packages/apricotlandingd/src/apricotlandingd/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolservice.py
@@ -38,9 +38,10 @@
 # Longest time between two decisions, in seconds.
 DECIDE_INTERVAL = 0.25
 LOAD_INTERVAL = 0.5
-LOAD_TIMEOUT = 1.0
-# A runner whose load report has failed for so long gets no work.
-SILENT_LIMIT = 2.5
+LOAD_TIMEOUT = 0.75
+# A runner whose load report has failed for so long gets no work. With the
+# interval and the timeout this is noticed within 3 seconds.
+SILENT_LIMIT = 1.75
 EVENT_INTERVAL = 0.5
 
 Deliver = collections.abc.Callable[[ids.Incarnation, object], None]
@@ -329,7 +330,8 @@
             # Its grants go on until it has been silent for a while: one
             # lost report says nothing.
             pass
-        is_reporting = now - answered_at < SILENT_LIMIT
+        silent_s = clocks.read_monotonic() - answered_at
+        is_reporting = silent_s < SILENT_LIMIT
         if is_reporting != runner.is_reporting:
             eliot.log_message(
                 'runner:reporting', runner=runner.name, is_on=is_reporting
--- a/packages/apricotstandins/src/apricotstandins/deployment.py
+++ b/packages/apricotstandins/src/apricotstandins/deployment.py
@@ -104,6 +104,8 @@
             'outage_limit_s': 60.0,
         }
         self.limits: dict[str, ty.Any] = {}
+        # Merged into every pool.
+        self.pool_settings: dict[str, ty.Any] = {}
 
     # Starting.
 
@@ -419,7 +421,8 @@
         pools: dict[str, dict[str, ty.Any]] = {}
         for plan in self.runners:
             pool = pools.setdefault(
-                plan.pool, {'name': plan.pool, 'runners': []}
+                plan.pool,
+                {'name': plan.pool, 'runners': []} | self.pool_settings,
             )
             pool['runners'].append(
                 {
--- a/packages/apricotstandins/src/apricotstandins/engine.py
+++ b/packages/apricotstandins/src/apricotstandins/engine.py
@@ -126,6 +126,8 @@
         self.faults = Faults()
         # Requests taken and prefills begun, by key.
         self.accepted: collections.Counter[str] = collections.Counter()
+        # When each key was first taken, on the monotonic clock.
+        self.accepted_at: dict[str, float] = {}
         self.executions: collections.Counter[str] = collections.Counter()
         self.prefill_computed = 0
         # Prefill tokens of requests that were cancelled or that a cut kept
@@ -305,6 +307,7 @@
         )
         self._works[work.request] = work
         self.accepted[work.key] += 1
+        self.accepted_at.setdefault(work.key, clocks.read_monotonic())
         self._waiting.append(work)
         arrival, self._arrival = self._arrival, anyio.Event()
         arrival.set()
@@ -406,6 +409,7 @@
         return {
             'engine': self.name,
             'accepted': dict(self.accepted),
+            'accepted_at': self.accepted_at,
             'executions': dict(self.executions),
             'prefill_computed': self.prefill_computed,
             'prefill_wasted': self.prefill_wasted,
