--- a/packages/apricotctl/src/apricotctl/command.py
+++ b/packages/apricotctl/src/apricotctl/command.py
@@ -3,13 +3,19 @@
 import dataclasses
 import json
 import pathlib
+import sys
 import typing as ty
 import urllib.parse
 
+import anyio
 import click
 
 from apricotctl import bundlefiles
 from apricotctl import client
+from apricotctl import outcomes
+from apricotctl import replaying
+from apricotctl import traces
+from apricotlanding import addresses
 from apricotlanding import signatures
 from apricotlanding import submissions
 
@@ -192,5 +198,91 @@
     )
 
 
+@main.command()
+@click.argument('deployment', type=click.Choice(sorted(traces.DEPLOYMENTS)))
+@click.option('--seed', default=1, show_default=True, help='Draws.')
+@click.option('--seconds', default=30.0, show_default=True, help='Length.')
+@click.option(
+    '--load', default=1.0, show_default=True, help='1.0 fills the engines.'
+)
+def trace(deployment: str, seed: int, seconds: float, load: float) -> None:
+    """Draw a trace of one of the users' deployments, as JSON lines."""
+    plan = traces.DEPLOYMENTS[deployment]
+    for line in traces.make_trace(plan, seed, seconds, load):
+        click.echo(line.model_dump_json(exclude_none=True))
+
+
+@main.command()
+@click.argument('path', type=_FILE)
+@click.option(
+    '--callers',
+    required=True,
+    multiple=True,
+    help="Callers' address of a daemon, IP:PORT; any number.",
+)
+@click.option(
+    '--tokens',
+    'token_path',
+    required=True,
+    type=_FILE,
+    help='JSON object: token by organisation.',
+)
+@click.option('--outcomes', 'outcome_path', type=_FILE, help='To be met.')
+@click.option('--storm', is_flag=True, help='Refused callers ask at once.')
+@click.option('--json', 'is_json', is_flag=True, help='For machines.')
+def replay(
+    path: pathlib.Path,
+    callers: tuple[str, ...],
+    token_path: pathlib.Path,
+    outcome_path: pathlib.Path | None,
+    storm: bool,
+    is_json: bool,
+) -> None:
+    """Replay the trace PATH and print what was measured.
+
+    Exits with 1 if a stated outcome was not met.
+    """
+    lines = traces.read_trace(path)
+    daemons = [addresses.parse_address(text) for text in callers]
+    tokens = json.loads(token_path.read_text())
+    stated = None
+    if outcome_path is not None:
+        stated = outcomes.load_outcomes(outcome_path)
+    running = replaying.Replay(lines, daemons, tokens, storm)
+    measured = anyio.run(_run_with_bar, running, len(lines), is_json)
+    if is_json:
+        click.echo(json.dumps(measured))
+    else:
+        for name, value in measured.items():
+            click.echo(f'{name:18} {value}')
+    missed = (
+        [] if stated is None else outcomes.check_outcomes(stated, measured)
+    )
+    if missed:
+        raise click.ClickException('not met: ' + '; '.join(missed))
+
+
+async def _run_with_bar(
+    running: replaying.Replay, count: int, is_quiet: bool
+) -> dict[str, ty.Any]:
+    with click.progressbar(
+        length=count, label='requests ended', file=sys.stderr, hidden=is_quiet
+    ) as bar:
+        async with anyio.create_task_group() as group:
+            group.start_soon(_move_bar, running, bar)
+            results = await running.run()
+            group.cancel_scope.cancel()
+        bar.update(count)
+    return results.describe()
+
+
+async def _move_bar(running: replaying.Replay, bar: ty.Any) -> None:
+    shown = 0
+    while True:
+        await anyio.sleep(0.2)
+        bar.update(running.done - shown)
+        shown = running.done
+
+
 if __name__ == '__main__':
     main()
--- /dev/null
+++ b/packages/apricotctl/src/apricotctl/outcomes.py
@@ -0,0 +1,58 @@
+"""Stated outcomes of a replay, and whether they were met.
+
+A YAML file says what must come of a trace:
+
+    goodput: {rebuild: 0.95, note: 0.5}    # at least, by route
+    outcomes: {unknown: 0, cut: 0}         # at most, by outcome
+    first_token_ms: {p95: 1300}            # at most
+"""
+
+import pathlib
+import typing as ty
+
+import click
+import pydantic
+
+from apricotlanding import yamlfiles
+
+__all__ = ['Outcomes', 'check_outcomes', 'load_outcomes']
+
+
+@ty.final
+class Outcomes(pydantic.BaseModel):
+    """What a replay must reach."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    goodput: dict[str, float] = {}
+    outcomes: dict[str, int] = {}
+    first_token_ms: dict[str, float] = {}
+
+
+def load_outcomes(path: pathlib.Path) -> Outcomes:
+    """Read a file of outcomes; click.ClickException names each mistake."""
+    loaded = yamlfiles.load_model(path.read_bytes(), Outcomes)
+    if loaded.is_error():
+        lines = [f'{path}: {finding}' for finding in loaded.error]
+        raise click.ClickException('\n'.join(lines))
+    return loaded.ok[0]
+
+
+def check_outcomes(
+    outcomes: Outcomes, measured: dict[str, ty.Any]
+) -> list[str]:
+    """Return what was not met, one line each."""
+    missed: list[str] = []
+    for route, least in outcomes.goodput.items():
+        found = measured['goodput'].get(route, 0.0)
+        if found < least:
+            missed.append(f'goodput of {route}: {found}, not {least}')
+    for outcome, most in outcomes.outcomes.items():
+        found = measured['outcomes'].get(outcome, 0)
+        if found > most:
+            missed.append(f'{outcome}: {found}, at most {most}')
+    for name, most_ms in outcomes.first_token_ms.items():
+        found = measured['first_token_ms'][name]
+        if found > most_ms:
+            missed.append(f'first token {name}: {found} ms, not {most_ms}')
+    return missed
--- /dev/null
+++ b/packages/apricotctl/src/apricotctl/replaying.py
@@ -0,0 +1,215 @@
+"""Replays a trace against running daemons and measures what came of it.
+
+Each request is posted at its time through the daemons in turn. A caller that
+is refused comes back after Retry-After, under the same key, while its
+deadline allows; ``is_storming`` callers come back at once as well, the first
+time. Measured are goodput by tier (whole answers within the deadline), time
+to the first token and between tokens, and every outcome.
+"""
+
+import collections
+import dataclasses
+import json
+import secrets
+import time
+import typing as ty
+import uuid
+
+import anyio
+from hdrh import histogram
+
+from apricotctl import traces
+from apricotlanding import addresses
+from apricotlanding import webclient
+
+__all__ = ['Replay', 'Results', 'make_key']
+
+# Histograms in microseconds, up to two minutes, to two digits.
+_LOWEST = 1
+_HIGHEST = 120_000_000
+_DIGITS = 2
+_PERCENTILES = (50, 95, 99)
+_LAST_WAIT = 0.05
+
+
+def make_key() -> str:
+    """Return a UUIDv7 (RFC 9562) issued now."""
+    value = int(time.time() * 1000) << 80 | 0x7 << 76
+    value |= secrets.randbits(12) << 64 | 0b10 << 62
+    return str(uuid.UUID(int=value | secrets.randbits(62)))
+
+
+@ty.final
+class Results:
+    """What was measured."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.good: collections.Counter[str] = collections.Counter()
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.shed: collections.Counter[str] = collections.Counter()
+        self.retries = 0
+        self.first = _make_histogram()
+        self.between = _make_histogram()
+
+    def describe(self) -> dict[str, ty.Any]:
+        """Return everything for machines."""
+        return {
+            'sent': dict(self.sent),
+            'good': dict(self.good),
+            'goodput': {
+                route: round(self.good[route] / count, 4)
+                for route, count in sorted(self.sent.items())
+            },
+            'shed': dict(self.shed),
+            'outcomes': dict(self.outcomes),
+            'retries': self.retries,
+            'first_token_ms': _describe_histogram(self.first),
+            'between_tokens_ms': _describe_histogram(self.between),
+        }
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    # One HTTP call: how it ended and when to come back.
+    outcome: str = 'cut'
+    code: str = ''
+    retry_after_s: float = 0.0
+    tokens: int = 0
+
+
+@ty.final
+class Replay:
+    """One replay of one trace."""
+
+    def __init__(
+        self,
+        lines: list[traces.TraceLine],
+        daemons: list[addresses.Address],
+        tokens: dict[str, str],
+        is_storming: bool = False,
+    ) -> None:
+        """Prepare; ``tokens`` are credentials by organisation."""
+        self.results = Results()
+        self.done = 0
+        self._lines = lines
+        self._tokens = tokens
+        self._is_storming = is_storming
+        self._clients = [
+            webclient.WebClient(daemon, max_connections=4000)
+            for daemon in daemons
+        ]
+
+    async def run(self) -> Results:
+        """Send everything at its time; return when all has ended."""
+        started = time.monotonic()
+        try:
+            async with anyio.create_task_group() as group:
+                for number, line in enumerate(self._lines):
+                    wait = started + line.at_s - time.monotonic()
+                    await anyio.sleep(max(wait, 0.0))
+                    group.start_soon(self._follow, number, line)
+        finally:
+            for client in self._clients:
+                await client.close()
+        return self.results
+
+    async def _follow(self, number: int, line: traces.TraceLine) -> None:
+        results = self.results
+        results.sent[line.route] += 1
+        key = line.key or make_key()
+        end = time.monotonic() + line.deadline_ms / 1000.0
+        attempt = _Attempt()
+        turn = number
+        while True:
+            left = end - time.monotonic()
+            if left <= _LAST_WAIT:
+                break
+            attempt = await self._post(turn, line, number, key, left)
+            if attempt.outcome not in ('not-run', 'cut'):
+                break
+            if attempt.code == 'APL201' and turn == number:
+                results.shed[line.route] += 1
+            is_first = turn == number
+            turn += 1
+            results.retries += 1
+            if not (self._is_storming and is_first):
+                await anyio.sleep(max(attempt.retry_after_s, _LAST_WAIT))
+        results.outcomes[attempt.outcome] += 1
+        is_whole = attempt.tokens == line.output_tokens
+        if attempt.outcome == 'complete' and is_whole:
+            if time.monotonic() <= end:
+                results.good[line.route] += 1
+        self.done += 1
+
+    async def _post(
+        self,
+        turn: int,
+        line: traces.TraceLine,
+        number: int,
+        key: str,
+        left: float,
+    ) -> _Attempt:
+        attempt = _Attempt()
+        client = self._clients[turn % len(self._clients)]
+        token = self._tokens[line.organisation]
+        headers = [
+            (b'authorization', f'Bearer {token}'.encode()),
+            (b'idempotency-key', key.encode()),
+            (b'apricot-deadline-ms', str(max(int(left * 1000), 1)).encode()),
+        ]
+        body = json.dumps(
+            {
+                'prompt': line.make_prompt(number),
+                'max_tokens': line.output_tokens,
+            }
+        ).encode()
+        path = f'/v1/routes/{line.route}'
+        sent_at = time.monotonic()
+        try:
+            with anyio.move_on_after(left + 1.0):
+                async with client.open('POST', path, headers, body) as reply:
+                    await self._read(reply, attempt, sent_at)
+        except webclient.WebError:
+            attempt.retry_after_s = 0.2
+        return attempt
+
+    async def _read(
+        self, reply: webclient.Response, attempt: _Attempt, sent_at: float
+    ) -> None:
+        last_at: float | None = None
+        rest = b''
+        async for part in reply.iterate():
+            now = time.monotonic()
+            *lines, rest = (rest + part).split(b'\n')
+            for text in lines:
+                value = json.loads(text)
+                if 'outcome' in value:
+                    attempt.outcome = value['outcome']
+                    attempt.code = value.get('code', '')
+                    attempt.retry_after_s = value.get('retry_after_s', 0.0)
+                    continue
+                attempt.tokens += 1
+                if last_at is None:
+                    _record(self.results.first, now - sent_at)
+                else:
+                    _record(self.results.between, now - last_at)
+                last_at = now
+
+
+def _make_histogram() -> ty.Any:
+    return histogram.HdrHistogram(_LOWEST, _HIGHEST, _DIGITS)
+
+
+def _record(target: ty.Any, seconds: float) -> None:
+    target.record_value(max(int(seconds * 1e6), _LOWEST))
+
+
+def _describe_histogram(source: ty.Any) -> dict[str, float]:
+    return {
+        f'p{percentile}': round(
+            source.get_value_at_percentile(percentile) / 1000.0, 2
+        )
+        for percentile in _PERCENTILES
+    }
--- /dev/null
+++ b/packages/apricotctl/src/apricotctl/traces.py
@@ -0,0 +1,160 @@
+"""Traces: requests with their times, to be replayed.
+
+A trace is a file of JSON lines, one request each, in order of arrival:
+
+    {"at_s": 0.31, "organisation": "festin", "route": "rebuild",
+     "prompt_tokens": 1800, "output_tokens": 240, "prefix": "festin-3",
+     "prefix_tokens": 640, "deadline_ms": 20000}
+
+``prefix`` names a prompt beginning that requests share. A ``key`` may be
+given; otherwise each request gets a fresh one when it is sent.
+
+``make_trace`` draws the two deployments of the users' brief from a seed:
+Poisson arrivals with a burst in the first third, a few large organisations,
+and work a hundred times longer than the shortest.
+"""
+
+import collections.abc
+import dataclasses
+import json
+import pathlib
+import random
+import typing as ty
+
+import click
+import pydantic
+
+__all__ = ['DEPLOYMENTS', 'TraceLine', 'make_trace', 'read_trace']
+
+
+@ty.final
+class TraceLine(pydantic.BaseModel):
+    """One request of a trace."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+    at_s: ty.Annotated[float, pydantic.Field(ge=0)]
+    organisation: str
+    route: str
+    prompt_tokens: ty.Annotated[int, pydantic.Field(gt=0)]
+    output_tokens: ty.Annotated[int, pydantic.Field(gt=0)]
+    prefix: str = ''
+    prefix_tokens: ty.Annotated[int, pydantic.Field(ge=0)] = 0
+    deadline_ms: ty.Annotated[int, pydantic.Field(gt=0)]
+    key: str | None = None
+
+    def make_prompt(self, number: int) -> str:
+        """Return a prompt of the right length; ``number`` makes it unique."""
+        shared = min(self.prefix_tokens, self.prompt_tokens)
+        words = [f'{self.prefix}.{index}' for index in range(shared)]
+        words += [
+            f'{number}.{index}' for index in range(self.prompt_tokens - shared)
+        ]
+        return ' '.join(words)
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """How requests of one route look; ranges are inclusive."""
+
+    route: str
+    # Part of all requests.
+    share: float
+    prompt_tokens: tuple[int, int]
+    output_tokens: tuple[int, int]
+    # Part of the prompt that is shared within an organisation.
+    shared_part: float
+    deadline_ms: int
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """One deployment's requests."""
+
+    shapes: tuple[Shape, ...]
+    # Requests a second that just fill its engines, as measured with the
+    # emulator's constants (docs/design/scheduling.md).
+    full_rate: float
+    # Part of the requests by organisation; a few are large.
+    organisations: tuple[tuple[str, float], ...]
+
+
+_ORGANISATIONS: ty.Final = (
+    ('org-1', 0.4),
+    ('org-2', 0.3),
+    ('org-3', 0.15),
+    ('org-4', 0.1),
+    ('org-5', 0.05),
+)
+
+DEPLOYMENTS: ty.Final[dict[str, Plan]] = {
+    'festin': Plan(
+        (
+            Shape('rebuild', 0.15, (1200, 2400), (150, 300), 0.5, 12_000),
+            Shape('briefing', 0.25, (300, 600), (40, 80), 0.5, 8_000),
+            Shape('note', 0.60, (20, 60), (3, 12), 0.0, 4_000),
+        ),
+        17.0,
+        _ORGANISATIONS,
+    ),
+    'ishami': Plan(
+        (
+            Shape('report', 0.5, (1500, 3000), (120, 240), 0.4, 20_000),
+            Shape('note', 0.5, (20, 60), (3, 12), 0.0, 4_000),
+        ),
+        14.0,
+        _ORGANISATIONS,
+    ),
+}
+# The burst: this part of the trace has this many times the requests.
+_BURST_PART = 0.33
+_BURST_FACTOR = 1.5
+
+
+def make_trace(
+    plan: Plan, seed: int, seconds: float, load: float
+) -> collections.abc.Iterator[TraceLine]:
+    """Draw a trace; ``load`` 1.0 just fills the engines."""
+    draw = random.Random(seed)  # noqa: S311
+    names = [name for name, _ in plan.organisations]
+    weights = [weight for _, weight in plan.organisations]
+    shares = [shape.share for shape in plan.shapes]
+    # The rest is so much quieter that the mean is what was asked for.
+    quiet = (1 - _BURST_PART * _BURST_FACTOR) / (1 - _BURST_PART)
+    at_s = 0.0
+    while True:
+        is_burst = at_s < _BURST_PART * seconds
+        factor = _BURST_FACTOR if is_burst else quiet
+        at_s += draw.expovariate(plan.full_rate * load * factor)
+        if at_s >= seconds:
+            return
+        shape = draw.choices(plan.shapes, shares)[0]
+        organisation = draw.choices(names, weights)[0]
+        prompt_tokens = draw.randint(*shape.prompt_tokens)
+        yield TraceLine(
+            at_s=round(at_s, 4),
+            organisation=organisation,
+            route=shape.route,
+            prompt_tokens=prompt_tokens,
+            output_tokens=draw.randint(*shape.output_tokens),
+            prefix=f'{organisation}-{shape.route}-{draw.randint(1, 4)}',
+            prefix_tokens=int(shape.shared_part * prompt_tokens),
+            deadline_ms=shape.deadline_ms,
+        )
+
+
+def read_trace(path: pathlib.Path) -> list[TraceLine]:
+    """Read a trace; click.ClickException names each bad line."""
+    lines: list[TraceLine] = []
+    wrong: list[str] = []
+    for number, text in enumerate(path.read_text().splitlines(), 1):
+        try:
+            lines.append(TraceLine.model_validate(json.loads(text)))
+        except ValueError as error:
+            first = str(error).splitlines()
+            wrong.append(f'{path}: line {number}: {" ".join(first[:3])}')
+    if wrong:
+        raise click.ClickException('\n'.join(wrong))
+    return sorted(lines, key=lambda line: line.at_s)
--- a/packages/apricotstandins/src/apricotstandins/deployment.py
+++ b/packages/apricotstandins/src/apricotstandins/deployment.py
@@ -106,6 +106,8 @@
         self.limits: dict[str, ty.Any] = {}
         # Merged into every pool.
         self.pool_settings: dict[str, ty.Any] = {}
+        # Replaces top-level parts of every bundle.
+        self.bundle_parts: dict[str, ty.Any] = {}
 
     # Starting.
 
@@ -219,7 +221,7 @@
             'routes': _make_routes({plan.pool for plan in self.runners}),
             'pools': self._make_pools(),
         }
-        return value | changes
+        return value | self.bundle_parts | changes
 
     def sign(
         self, value: dict[str, ty.Any], author: str = AUTHOR
