Do not begin what cannot end before its deadline

Change: the scheduler compares the expected time with what is left when it grants, and gives the late one its final answer at once in place of a grant.

--- a/packages/apricotctl/src/apricotctl/traces.py
+++ b/packages/apricotctl/src/apricotctl/traces.py
@@ -96,7 +96,7 @@
             Shape('briefing', 0.25, (300, 600), (40, 80), 0.5, 8_000),
             Shape('note', 0.60, (20, 60), (3, 12), 0.0, 4_000),
         ),
-        17.0,
+        36.0,
         _ORGANISATIONS,
     ),
     'ishami': Plan(
@@ -104,7 +104,7 @@
             Shape('report', 0.5, (1500, 3000), (120, 240), 0.4, 20_000),
             Shape('note', 0.5, (20, 60), (3, 12), 0.0, 4_000),
         ),
-        14.0,
+        30.0,
         _ORGANISATIONS,
     ),
 }
--- a/packages/apricotlanding/src/apricotlanding/wire.py
+++ b/packages/apricotlanding/src/apricotlanding/wire.py
@@ -291,6 +291,9 @@
     epoch: ids.Epoch
     ticket: str
     retry_after_s: float
+    # True if no runner could have ended it before its deadline, whatever
+    # else waits.
+    is_late: bool = False
 
 
 @registry.register(33)
--- a/packages/apricotlandingd/src/apricotlandingd/poolclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolclient.py
@@ -208,9 +208,12 @@
         if entry is None or entry.epoch != message.epoch:
             # From a scheduler that was replaced: the new one decides.
             return
-        ticket.problem = errors.make_problem(
-            errors.Kind.SHED, message.retry_after_s
-        )
+        if message.is_late:
+            ticket.problem = errors.make_problem(errors.Kind.DEADLINE_PASSED)
+        else:
+            ticket.problem = errors.make_problem(
+                errors.Kind.SHED, message.retry_after_s
+            )
         ticket.wake()
 
     def take_withdrawn(
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -32,6 +32,9 @@
 
 # Seconds in which a grant has to be used.
 GRANT_EXPIRY = 1.0
+# Part of the expected time that a request needs before its deadline to be
+# begun at all.
+LATE_CREDIT = 0.7
 # Bounds of the advice when to come back, in seconds.
 RETRY_FIRST = 1.0
 RETRY_LAST = 30.0
@@ -77,6 +80,9 @@
 
     waiting: Waiting
     retry_after_s: float
+    # Not for want of room: it could not end before its deadline even if it
+    # began now.
+    is_late: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -333,7 +339,9 @@
 
     # Granting.
 
-    def _grant_all(self, now: float) -> ty.Iterator[GrantDecision]:
+    def _grant_all(
+        self, now: float
+    ) -> ty.Iterator[GrantDecision | ShedDecision]:
         for rank in sorted(self._tiers):
             tier = self._tiers[rank]
             while (waiting := tier.peek()) is not None:
@@ -344,9 +352,31 @@
                     return
                 tier.pop()
                 self._forget_waiting(waiting)
+                if self._is_late(waiting, runner, now):
+                    yield ShedDecision(waiting, 0.0, is_late=True)
+                    continue
                 self._place(waiting, runner.name, now, is_started=False)
                 yield GrantDecision(waiting, runner.name)
 
+    def _is_late(
+        self,
+        waiting: Waiting,
+        runner: runnerstate.RunnerState,
+        now: float,
+    ) -> bool:
+        # Begun now it would end after its deadline: its prefill and output
+        # would be thrown away, and those behind it would wait for nothing.
+        # It is nobody's lower tier that it yields to, so this is no
+        # shedding. The estimate may be wrong, so it is given some credit.
+        if not self.policy.has_limits or not runner.has_measurements:
+            return False
+        entry = waiting.entry
+        expected_s = runner.estimate_seconds(
+            entry.prompt_tokens - runner.count_cached(entry.prefix),
+            entry.output_tokens,
+        )
+        return now + LATE_CREDIT * expected_s > waiting.deadline_at
+
     def _choose_runner(
         self, waiting: Waiting, now: float
     ) -> runnerstate.RunnerState | None:
--- a/packages/apricotlandingd/src/apricotlandingd/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolservice.py
@@ -232,7 +232,11 @@
             else:
                 self._metrics.count(f'shed.tier{decision.waiting.entry.tier}')
                 message = wire.Shed(
-                    name, epoch, ticket, decision.retry_after_s
+                    name,
+                    epoch,
+                    ticket,
+                    decision.retry_after_s,
+                    decision.is_late,
                 )
             self.deliver(receiver, message)
 
