Expect prefill to be over once its time has passed

Cause: the estimate counted the prompts of all requests in a runner's batch as prefill still to be done, also of those that were decoding for seconds. It was too dark for short requests, which were refused as too late; and the learned prefill speed took waiting for others' prefill as its own. Change: a runner has a time until which the prefill sent to it is expected to last; what is learned is the time to the first token less that wait.

--- a/packages/apricotlandingd/src/apricotlandingd/policies.py
+++ b/packages/apricotlandingd/src/apricotlandingd/policies.py
@@ -120,7 +120,7 @@
     for runner in choice.candidates:
         cached = runner.count_cached(choice.prefix)
         expected_s = runner.estimate_seconds(
-            choice.prompt_tokens - cached, choice.output_tokens
+            choice.prompt_tokens - cached, choice.output_tokens, choice.now
         )
         if expected_s < best_s:
             best = runner
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -374,6 +374,7 @@
         expected_s = runner.estimate_seconds(
             entry.prompt_tokens - runner.count_cached(entry.prefix),
             entry.output_tokens,
+            now,
         )
         return now + LATE_CREDIT * expected_s > waiting.deadline_at
 
@@ -435,7 +436,9 @@
                 tokens=waiting.tokens,
                 prompt_tokens=entry.prompt_tokens,
                 uncached_tokens=max(entry.prompt_tokens - cached, 0),
-            )
+                expected_wait_s=runner.estimate_wait(now),
+            ),
+            now,
         )
         runner.remember_blocks(entry.prefix)
 
--- a/packages/apricotlandingd/src/apricotlandingd/runnerstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runnerstate.py
@@ -44,6 +44,8 @@
     prompt_tokens: int
     # Prompt tokens that were not expected in the cache.
     uncached_tokens: int
+    # Seconds of other prefill expected before its own.
+    expected_wait_s: float
 
 
 @ty.final
@@ -67,6 +69,8 @@
         self.prefill_token_s = _PREFILL_TOKEN_S
         self.output_token_s = _OUTPUT_TOKEN_S
         self.has_measurements = False
+        # When the prefill of all that was sent is expected to be done.
+        self._prefill_until = float('-inf')
         self._tokens = 0
         self._blocks: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
@@ -94,9 +98,13 @@
             return False
         return self._tokens + tokens <= self.model.batch_tokens
 
-    def occupy(self, place: Occupancy) -> None:
-        """Count a request as being here."""
+    def occupy(self, place: Occupancy, now: float) -> None:
+        """Count a request as being here from now on."""
         self.release(place.ticket)
+        self._prefill_until = (
+            max(self._prefill_until, now)
+            + place.uncached_tokens * self.prefill_token_s
+        )
         self.occupied[place.ticket] = place
         self._tokens += place.tokens
 
@@ -128,19 +136,22 @@
         """No longer expect a block in its cache."""
         self._blocks.pop(block, None)
 
+    def estimate_wait(self, now: float) -> float:
+        """Return seconds until the prefill that was sent here is done."""
+        return max(self._prefill_until - now, 0.0)
+
     def estimate_seconds(
-        self, prefill_tokens: int, output_tokens: int
+        self, prefill_tokens: int, output_tokens: int, now: float
     ) -> float:
         """Return how long a request would take here, waiting included.
 
-        A prefill holds up the whole batch, so those that were granted and
-        are probably not over yet come first.
+        A prefill holds up the whole batch, so what was sent before and is
+        probably not prefilled yet comes first.
         """
-        queued = sum(place.uncached_tokens for place in self.occupied.values())
-        share = 0.5 * queued + max(prefill_tokens, 0)
         crowd = 1.0 + 0.08 * len(self.occupied)
         return (
-            share * self.prefill_token_s
+            self.estimate_wait(now)
+            + max(prefill_tokens, 0) * self.prefill_token_s
             + output_tokens * self.output_token_s * crowd
         )
 
@@ -156,16 +167,17 @@
         decode_s = (message.total_s - message.first_s) / (
             message.output_tokens - 1
         )
-        self._average_in(message.first_s, place.uncached_tokens, decode_s)
+        prefill_s = message.first_s - place.expected_wait_s
+        self._average_in(prefill_s, place.uncached_tokens, decode_s)
 
     def _average_in(
-        self, first_s: float, uncached: int, decode_s: float
+        self, prefill_s: float, uncached: int, decode_s: float
     ) -> None:
         weight = _NEWEST if self.has_measurements else 1.0
         self.has_measurements = True
         self.output_token_s += weight * (decode_s - self.output_token_s)
-        if uncached < 4 * BLOCK:
-            # Too short: the time to the first token is not prefill.
+        if uncached < 4 * BLOCK or prefill_s <= 0.0:
+            # Too short to measure, or our expectation was off.
             return
-        prefill_s = first_s / uncached
-        self.prefill_token_s += _NEWEST * (prefill_s - self.prefill_token_s)
+        token_s = prefill_s / uncached
+        self.prefill_token_s += _NEWEST * (token_s - self.prefill_token_s)
