--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 check: .venv/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages demo tests
+	$(BIN)/flake8 packages demo tests bench
 	$(BIN)/mypy
 
 format: .venv/installed
@@ -44,3 +44,10 @@
 .PHONY: matrix
 matrix: .venv/installed
 	$(BIN)/python tests/run_matrix.py
+
+# The slopes of docs/CAPACITY.md, and the comparison of policies.
+.PHONY: capacity compare
+capacity: .venv/installed
+	$(BIN)/python bench/capacity.py
+compare: .venv/installed
+	$(BIN)/python bench/compare.py
