A restarted daemon proves that the process before it has ended

Ruled out: believing the host list (it lags), and believing a host's name alone (a replaced machine may carry it while the old one is cut off). Change: an incarnation's name contains kernel boot, listening address and start time; of two with the same place the later proves that the earlier has ended. Each daemon appends one record when it starts. The lease is waited out all the same. The story dead_process_speaks_late breaks without the order of starts.

--- a/packages/apricotctl/src/apricotctl/command.py
+++ b/packages/apricotctl/src/apricotctl/command.py
@@ -160,6 +160,8 @@
     )
     for name, shard in reply['shards'].items():
         state = 'serving' if shard['serving'] else 'taking over'
+        if not shard['reachable']:
+            state += ', out of reach'
         click.echo(
             f'  {name:24} epoch {shard["epoch"]:<4} {shard["owner"]}'
             f' ({state}, then {shard["successor"] or "nobody"})'
--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -24,6 +24,7 @@
     'Scope',
     'Send',
     'Server',
+    'bind_address',
     'read_body',
     'read_headers',
     'send_json',
@@ -154,16 +155,21 @@
         yield
 
 
+def bind_address(address: addresses.Address) -> socket.socket:
+    """Return a listening socket; OSError if that cannot be."""
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    return socket.create_server(
+        (address.host, address.port), family=family, backlog=BACKLOG
+    )
+
+
 @ty.final
 class Server:
     """An HTTP listener."""
 
     def __init__(self, app: App, address: addresses.Address) -> None:
         """Bind the address; OSError if that cannot be."""
-        family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
-        self._socket = socket.create_server(
-            (address.host, address.port), family=family, backlog=BACKLOG
-        )
+        self._socket = bind_address(address)
         config = uvicorn.Config(
             app,
             loop='none',
--- a/packages/apricotlanding/src/apricotlanding/clocks.py
+++ b/packages/apricotlanding/src/apricotlanding/clocks.py
@@ -8,9 +8,12 @@
 host was suspended, and two owners would grant at once.
 """
 
+import pathlib
 import time
 
-__all__ = ['read_monotonic', 'read_wall']
+__all__ = ['read_boot', 'read_monotonic', 'read_wall']
+
+_BOOT_ID = pathlib.Path('/proc/sys/kernel/random/boot_id')
 
 
 def read_monotonic() -> float:
@@ -18,6 +21,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def read_boot() -> str:
+    """Return a name for this boot of this host's kernel."""
+    return _BOOT_ID.read_text().strip()
+
+
 def read_wall() -> float:
     """Return Unix time in seconds, as right as this host's clock is."""
     return time.time()
--- a/packages/apricotlanding/src/apricotlanding/ids.py
+++ b/packages/apricotlanding/src/apricotlanding/ids.py
@@ -7,12 +7,20 @@
 One *host* runs one daemon process at a time. An *incarnation* is one run of
 one daemon process: a restarted daemon has the same host and a new
 incarnation, and nothing that an earlier incarnation promised binds it.
+
+An incarnation's name tells which earlier ones are dead. It contains a digest
+of the kernel's boot and of the address that the daemon listens on, and the
+time of its start on that kernel's clock. Two processes cannot listen on one
+address of one running kernel, so the later of two such names proves that the
+earlier process has ended.
 """
 
 import secrets
 import typing as ty
 import uuid
 
+import xxhash
+
 __all__ = [
     'Domain',
     'Epoch',
@@ -27,6 +35,7 @@
     'Shard',
     'Tier',
     'Version',
+    'has_ended',
     'make_incarnation',
     'parse_host',
     'read_issue_time',
@@ -38,7 +47,7 @@
 Runner = ty.NewType('Runner', str)
 Host = ty.NewType('Host', str)
 Domain = ty.NewType('Domain', str)
-# ``host/16 hex digits``.
+# ``host/PLACE.START.RANDOM``; see ``make_incarnation``.
 Incarnation = ty.NewType('Incarnation', str)
 # An idempotency key as the caller sent it, in canonical UUID form.
 Key = ty.NewType('Key', str)
@@ -56,9 +65,27 @@
 _UUIDV7 = 7
 
 
-def make_incarnation(host: Host) -> Incarnation:
-    """Return a name for this run of this process."""
-    return Incarnation(f'{host}/{secrets.token_hex(8)}')
+def make_incarnation(host: Host, place: str, started_at: float) -> Incarnation:
+    """Return a name for this run of this process.
+
+    ``place`` names kernel boot and listening address, ``started_at`` is the
+    monotonic time in seconds after the address was bound.
+    """
+    digest = xxhash.xxh3_64_hexdigest(place.encode())
+    start = int(started_at * 1000)
+    return Incarnation(f'{host}/{digest}.{start:012x}.{secrets.token_hex(4)}')
+
+
+def has_ended(earlier: Incarnation, later: Incarnation) -> bool:
+    """Tell whether ``later`` proves that ``earlier`` has ended."""
+    place, start = _split_incarnation(earlier)
+    other_place, other_start = _split_incarnation(later)
+    return place == other_place and start < other_start
+
+
+def _split_incarnation(incarnation: Incarnation) -> tuple[str, str]:
+    place, _, rest = incarnation.partition('.')
+    return place, rest.partition('.')[0]
 
 
 def parse_host(incarnation: Incarnation) -> Host:
--- a/packages/apricotlandingd/src/apricotlandingd/daemon.py
+++ b/packages/apricotlandingd/src/apricotlandingd/daemon.py
@@ -74,7 +74,14 @@
         """
         self.settings = config
         self.host = ids.Host(config.host)
-        self.incarnation = ids.make_incarnation(self.host)
+        # Bound before the incarnation is named: its name says that nobody
+        # else listens there. See ``ids``.
+        self._peer_socket = asgi.bind_address(config.peers)
+        self.incarnation = ids.make_incarnation(
+            self.host,
+            f'{clocks.read_boot()} {config.peers}',
+            clocks.read_monotonic(),
+        )
         self.metrics = metrics.Metrics(config.statsd)
         self.tracer, self._end_traces = tracing.make_tracer(
             config.host, config.trace_file
@@ -215,9 +222,9 @@
 
     async def run(self) -> None:
         """Run until a graceful stop has ended."""
-        address = self.settings.peers
-        listener = await anyio.create_tcp_listener(
-            local_host=address.host, local_port=address.port
+        self._peer_socket.setblocking(False)
+        listener = await anyio.abc.SocketListener.from_socket(
+            self._peer_socket
         )
         async with supervisor.Supervisor('daemon') as tree:
             tree.start('log', self.follower.follow)
@@ -269,6 +276,8 @@
                     'epoch': item.epoch,
                     'owner': ids.parse_host(item.owner),
                     'serving': item.is_serving,
+                    'reachable': item.owner == self.incarnation
+                    or self.peers.find(item.owner) is not None,
                     'successor': None
                     if item.successor is None
                     else ids.parse_host(item.successor),
--- a/packages/apricotlandingd/src/apricotlandingd/leases.py
+++ b/packages/apricotlandingd/src/apricotlandingd/leases.py
@@ -187,5 +187,9 @@
             end += MARGIN
         else:
             end = item.replaced_at + past.outage_limit_s * DRIFT + MARGIN
+        if item.ended_at is not None:
+            # Its process has ended. The lease is waited out all the same,
+            # for work that it had handed to its sockets.
+            end = min(end, item.ended_at + past.lease_s * DRIFT + MARGIN)
         at = max(at, end)
     return at
--- a/packages/apricotlandingd/src/apricotlandingd/owners.py
+++ b/packages/apricotlandingd/src/apricotlandingd/owners.py
@@ -163,6 +163,9 @@
         """Keep ownership until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
+            # Tells the readers of the log that our host's earlier process
+            # has ended, whatever it owned.
+            group.start_soon(supervisor.run_guarded, self._follower.confirm)
             group.start_soon(self._renew_forever)
             group.start_soon(self._confirm_forever)
             while True:
--- a/packages/apricotlandingd/src/apricotlandingd/shardview.py
+++ b/packages/apricotlandingd/src/apricotlandingd/shardview.py
@@ -40,6 +40,8 @@
     # When this reader saw the first Take after it; not before the Take
     # landed, so that waiting from here is never too short.
     replaced_at: float
+    # When this reader learned that the owner's process has ended.
+    ended_at: float | None = None
 
 
 @ty.final
@@ -59,6 +61,8 @@
     is_serving: bool = False
     # The owner has let go and nobody has taken over yet.
     is_released: bool = False
+    # When this reader learned that the owner's process has ended.
+    ended_at: float | None = None
     unsettled: list[Unsettled] = dataclasses.field(default_factory=list)
 
     def describe(self, shard: ids.Shard) -> records.ShardState:
@@ -153,6 +157,7 @@
     def _apply(self, envelope: records.Envelope, now: float) -> None:
         body = envelope.body
         sender = envelope.sender
+        self._note_ended(sender, now)
         if isinstance(body, records.Take):
             self._apply_take(body, sender, now)
         elif isinstance(body, records.Serving):
@@ -168,6 +173,21 @@
         elif isinstance(body, records.Release):
             self._apply_release(body, sender)
 
+    def _note_ended(self, sender: ids.Incarnation, now: float) -> None:
+        # A daemon that was restarted proves that the process before it has
+        # ended. Without this, an owner and a successor that die together
+        # would be waited for as if they could live on behind a cut.
+        for entry in self.entries.values():
+            if entry.ended_at is None and ids.has_ended(entry.owner, sender):
+                entry.ended_at = now
+            for index, item in enumerate(entry.unsettled):
+                if item.ended_at is not None:
+                    continue
+                if ids.has_ended(item.past.owner, sender):
+                    entry.unsettled[index] = dataclasses.replace(
+                        item, ended_at=now
+                    )
+
     def _apply_take(
         self, take: records.Take, sender: ids.Incarnation, now: float
     ) -> None:
@@ -186,7 +206,7 @@
                     entry.lease_s,
                     entry.outage_limit_s,
                 )
-                unsettled.append(Unsettled(past, now))
+                unsettled.append(Unsettled(past, now, entry.ended_at))
         self.entries[take.shard] = ShardEntry(
             epoch=take.epoch,
             owner=sender,
--- a/packages/apricotstandins/src/apricotstandins/deployment.py
+++ b/packages/apricotstandins/src/apricotstandins/deployment.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import functools
 import json
 import pathlib
 import typing as ty
@@ -181,12 +180,7 @@
 
     def wait_ready(self) -> None:
         """Wait until every daemon is ready and every shard is served."""
-        for place in self.daemons.values():
-            if place.process is None or not place.process.is_running():
-                continue
-            processes.wait_until(
-                functools.partial(self._is_ready, place), f'{place.host} ready'
-            )
+        processes.wait_until(self._are_ready, 'every daemon is ready')
 
     def stop(self) -> None:
         """End every process that was started here."""
@@ -442,6 +436,13 @@
     def _find_key(self, name: str) -> bytes:
         return self.author_pem if name == AUTHOR else self.approver_pem
 
+    def _are_ready(self) -> bool:
+        return all(
+            self._is_ready(place)
+            for place in self.daemons.values()
+            if place.process is not None and place.process.is_running()
+        )
+
     def _is_ready(self, place: DaemonPlace) -> bool:
         reply = callers.call_http(place.callers, 'GET', '/readyz')
         if reply.status != 200:
@@ -451,7 +452,10 @@
         expected = self.ownership['claim_shards'] + len(pools)
         if len(shards) < expected:
             return False
-        return all(shard['serving'] for shard in shards.values())
+        return all(
+            shard['serving'] and shard['reachable']
+            for shard in shards.values()
+        )
 
     def wait_for_http(self, address: str, path: str) -> None:
         """Wait until an address answers."""
--- a/tests/ownershipmodel.py
+++ b/tests/ownershipmodel.py
@@ -66,7 +66,7 @@
     """One incarnation of one daemon."""
 
     def __init__(self, host: str, run: int, wall_offset: float) -> None:
-        self.incarnation = ids.Incarnation(f'{host}/{run}')
+        self.incarnation = ids.Incarnation(f'{host}/{host}.{run:012x}.0')
         self.host = host
         self.follower = logfollower.LogFollower(
             ty.cast(platformlog.PlatformLog, None), self.incarnation
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -247,6 +247,31 @@
             self.assertEqual({'not-run', 'unknown'}, outcomes)
             self.assertEqual(0, process.wait())
 
+    def test_owner_and_successor_die_together(self) -> None:
+        # Two of three daemons die at once and are restarted. The next
+        # owner cannot tell a dead pair from one behind a cut, and would wait
+        # the whole outage limit of a minute; the restarted daemons' records
+        # tell it that the old processes have ended.
+        victims = ['entry-1', 'entry-2']
+        for host in victims:
+            process = self.system.daemons[host].process
+            assert process is not None
+            process.kill()
+        for host in victims:
+            self.system.start_daemon(host)
+        self.system.wait_ready()
+        body = {'prompt': systems.make_prompt(20), 'max_tokens': 5}
+        # Keys from before the takeover stay unknown; new ones run.
+        processes.wait_until(
+            lambda: (
+                self.post(
+                    'entry-3', 'rebuild', body, callers.make_key()
+                ).status
+                == 200
+            ),
+            'at-most-once work is served again',
+        )
+
     def test_drain_from_afar(self) -> None:
         reply = self.system.call_operator(
             'entry-1', 'POST', '/v1/drain?host=entry-2'
--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -12,6 +12,7 @@
 
 import testtools
 
+from apricotlanding import ids
 from apricotlanding import records
 from apricotlanding import wire
 from apricotlandingd import claimtable
@@ -187,6 +188,14 @@
     test.patch(claimtable.ClaimTable, 'add_report', add_all)
 
 
+def believe_late_words(test: testtools.TestCase) -> None:
+    def has_ended(earlier: ids.Incarnation, later: ids.Incarnation) -> bool:
+        same_host = ids.parse_host(earlier) == ids.parse_host(later)
+        return same_host and earlier != later
+
+    test.patch(ids, 'has_ended', has_ended)
+
+
 # Stories.
 
 
@@ -415,6 +424,26 @@
     world.check()
 
 
+@case(believe_late_words)
+def dead_process_speaks_late(world: model.World) -> None:
+    """A record of a process that is gone lands after its host's next one.
+
+    The restarted daemon owns the shard by then, and is cut off from the log
+    with its successor. The late record must not make it look dead.
+    """
+    first, successor, outsider = world.nodes
+    late = world.send(first, records.Mark())
+    owner = world.restart(first)
+    model.start_serving(world, owner, successor)
+    append = world.take(outsider, None)
+    assert append is not None
+    world.land(append)
+    world.land(late)
+    world.read(outsider)
+    renew_for(world, owner, successor, 2 * model.LEASE)
+    serve_when_allowed(world, outsider)
+
+
 class TestSafeguards(testtools.TestCase):
     """Each story is safe, and broken without its safeguard."""
 
