Orders to engines, fenced where they check and repeated where not

Ways weighed: one order a change (a late one would stand for ever at an engine that does not check), or a declared state that the owner keeps. Change: runners may declare load and role in the bundle; the pool's owner orders them with its epoch, and repeats every 3 s where the engine ignores fencing numbers.

--- a/packages/apricotlanding/src/apricotlanding/bundle.py
+++ b/packages/apricotlanding/src/apricotlanding/bundle.py
@@ -176,6 +176,11 @@
     domain: _Name
     # Whether it refuses orders with an old fencing number.
     checks_fencing: bool = False
+    # What the engine is ordered to have loaded: a model, adapter or version.
+    # Nothing is ordered if not given.
+    load: str | None = None
+    # Role that it is ordered to take, such as prefill or decode.
+    role: str | None = None
     # Most requests at a time.
     slots: _Positive = 8
     # Most tokens, prompt and output, in the batch at a time.
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/ordering.py
@@ -0,0 +1,78 @@
+"""Orders to engines: what they load and which role they take.
+
+The bundle declares the state of each runner; the owner of its pool orders it
+there, with the pool's epoch as fencing number. Orders say what the state is
+to be, never what to change, so that one may be repeated.
+
+An engine that checks fencing numbers refuses the order of an owner that was
+replaced. For one that does not check, two things help. The owner serves only
+after every earlier owner's right has ended, and checks its own right before
+each order; so a late order can come only from a process that was stopped
+between that check and the sending. And the owner repeats its orders: whatever
+a late one has changed is put right within ``REPEAT_INTERVAL``.
+"""
+
+import typing as ty
+
+import anyio
+import eliot
+
+from apricotlanding import bundle
+from apricotlanding import clocks
+from apricotlanding import webclient
+from apricotlandingd import leases
+
+__all__ = ['keep_ordered']
+
+# Seconds between orders to an engine that does not check fencing numbers,
+# and between looks at what is declared.
+REPEAT_INTERVAL = 3.0
+LOOK_INTERVAL = 0.5
+_TIMEOUT = 2.0
+
+Declared = tuple[str | None, str | None]
+
+
+class Ordered(ty.Protocol):
+    """A runner as far as orders are concerned."""
+
+    model: bundle.RunnerModel
+
+
+async def keep_ordered(
+    runner: Ordered, right: leases.Right, client: webclient.WebClient
+) -> None:
+    """Order a runner to its declared state, until cancelled."""
+    done: Declared | None = None
+    done_at = float('-inf')
+    while True:
+        model = runner.model
+        declared = (model.load, model.role)
+        now = clocks.read_monotonic()
+        is_due = not model.checks_fencing and now >= (
+            done_at + REPEAT_INTERVAL
+        )
+        if declared != (None, None) and (declared != done or is_due):
+            if right.is_valid(now) and await _order(model, right, client):
+                done = declared
+                done_at = now
+        await anyio.sleep(LOOK_INTERVAL)
+
+
+async def _order(
+    model: bundle.RunnerModel,
+    right: leases.Right,
+    client: webclient.WebClient,
+) -> bool:
+    order = {'epoch': right.epoch, 'load': model.load, 'role': model.role}
+    try:
+        status, _ = await client.call_json(
+            'POST', '/v1/orders', order, read_timeout=_TIMEOUT
+        )
+    except webclient.WebError as error:
+        eliot.log_message('order:failed', runner=model.name, error=str(error))
+        return False
+    if status != 200:
+        # 409: a newer owner has given orders, and ours are void.
+        eliot.log_message('order:refused', runner=model.name, status=status)
+    return status == 200
--- a/packages/apricotlandingd/src/apricotlandingd/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolservice.py
@@ -27,6 +27,7 @@
 from apricotlanding import webclient
 from apricotlanding import wire
 from apricotlandingd import leases
+from apricotlandingd import ordering
 from apricotlandingd import owners
 from apricotlandingd import peerlink
 from apricotlandingd import peers
@@ -307,6 +308,9 @@
                 async with anyio.create_task_group() as group:
                     group.start_soon(_follow_load, desk, runner, client)
                     group.start_soon(_follow_events, runner, client)
+                    group.start_soon(
+                        ordering.keep_ordered, runner, desk.right, client
+                    )
             finally:
                 with anyio.CancelScope(shield=True):
                     await client.close()
