Never say "not run" before the claim owner was heard

Cause: the fault that kills the entry daemon and the claim owner together (new row of the matrix) broke a promise: the caller's retry reached a third daemon, which found no owner and answered "not-run" (APL204) for a key that had run through the first one. The same holds for every refusal of at-most-once work before its claim is decided: stopping, no bundle, memory, deadline; and for keys older than the claim window. Ruled out: holding the request until its deadline (the users forbid it). Change: such refusals say "unknown", with the same Retry-After and remedy: asking again under the same key is safe. Idempotent work and callers' own mistakes are still "not-run".

--- a/packages/apricotctl/src/apricotctl/replaying.py
+++ b/packages/apricotctl/src/apricotctl/replaying.py
@@ -127,7 +127,8 @@
             if left <= _LAST_WAIT:
                 break
             attempt = await self._post(turn, line, number, key, left)
-            if attempt.outcome not in ('not-run', 'cut'):
+            may_ask = attempt.outcome == 'cut' or attempt.retry_after_s > 0
+            if attempt.outcome != 'not-run' and not may_ask:
                 break
             if attempt.code == 'APL201' and turn == number:
                 results.shed[line.route] += 1
--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -21,6 +21,7 @@
     'Problem',
     'Refused',
     'make_problem',
+    'weaken',
 ]
 
 
@@ -104,7 +105,7 @@
     KEY_EXPIRED = Template(
         'APL108',
         400,
-        Outcome.NOT_RUN,
+        Outcome.UNKNOWN,
         'the Idempotency-Key is older than the claim window of'
         ' {window_s:.0f} s',
         'find out what became of the first request before you issue a new key',
@@ -336,6 +337,8 @@
     # ``text`` of the template with its fields filled in.
     text: str
     remedy: str
+    # What the caller may rely on: the template's word, or a weaker one.
+    outcome: Outcome
     # Seconds after which asking again makes sense; None if never.
     retry_after_s: float | None = None
 
@@ -349,11 +352,6 @@
         """Return the HTTP status."""
         return self.kind.value.status
 
-    @property
-    def outcome(self) -> Outcome:
-        """Return what the caller may rely on."""
-        return self.kind.value.outcome
-
     def __str__(self) -> str:
         """Return one line for people."""
         return f'{self.code}: {self.text}; {self.remedy}'
@@ -384,5 +382,17 @@
         kind=kind,
         text=template.text.format(**fields),
         remedy=template.remedy.format(**fields),
+        outcome=template.outcome,
         retry_after_s=retry_after_s,
     )
+
+
+def weaken(problem: Problem) -> Problem:
+    """Return a problem that does not say that the request was not run.
+
+    For refusals of at-most-once work before its claim owner was heard: this
+    call has run nothing, but an earlier one under the same key may have,
+    through another daemon. "Not run" would be believed, and a caller would
+    send the work again under a new key.
+    """
+    return dataclasses.replace(problem, outcome=Outcome.UNKNOWN)
--- a/packages/apricotlanding/src/apricotlanding/wire.py
+++ b/packages/apricotlanding/src/apricotlanding/wire.py
@@ -12,6 +12,7 @@
 import typing as ty
 
 from apricotlanding import codec
+from apricotlanding import errors
 from apricotlanding import ids
 from apricotlanding import records
 
@@ -378,6 +379,7 @@
     retry_after_s: float | None
     runner: ids.Runner | None
     status: int
+    outcome: errors.Outcome = errors.Outcome.COMPLETE
 
 
 @registry.register(45)
--- a/packages/apricotlandingd/src/apricotlandingd/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/admission.py
@@ -21,7 +21,7 @@
 from apricotlanding import ids
 from apricotlandingd import runnerstate
 
-__all__ = ['Request', 'check_body', 'check_headers', 'hash_prefix']
+__all__ = ['Head', 'Request', 'check_body', 'check_headers', 'hash_prefix']
 
 DEADLINE_HEADER = 'apricot-deadline-ms'
 KEY_HEADER = 'idempotency-key'
--- a/packages/apricotlandingd/src/apricotlandingd/attaching.py
+++ b/packages/apricotlandingd/src/apricotlandingd/attaching.py
@@ -93,6 +93,7 @@
             problem.retry_after_s,
             answer.runner,
             answer.status,
+            problem.outcome,
         )
 
     def _read_end(
@@ -104,7 +105,11 @@
             return self._describe_missing(reply)
         kind = errors.Kind[end.code]
         return errors.Problem(
-            kind, end.text, kind.value.remedy, end.retry_after_s
+            kind,
+            end.text,
+            kind.value.remedy,
+            end.outcome,
+            end.retry_after_s,
         )
 
     def _describe_missing(self, reply: wire.ClaimReply) -> errors.Problem:
--- a/packages/apricotlandingd/src/apricotlandingd/entry.py
+++ b/packages/apricotlandingd/src/apricotlandingd/entry.py
@@ -99,7 +99,10 @@
     ) -> admission.Request | errors.Problem:
         config = self.find_bundle()
         if config is None:
-            return errors.make_problem(errors.Kind.NO_BUNDLE, 1.0)
+            # Nobody here knows the route, nor what became of the key.
+            return errors.weaken(
+                errors.make_problem(errors.Kind.NO_BUNDLE, 1.0)
+            )
         if scope['method'] != 'POST':
             return errors.make_problem(errors.Kind.BAD_METHOD)
         name = scope['path'].removeprefix(ROUTE_PREFIX)
@@ -110,7 +113,8 @@
             return checked.error
         head = checked.ok
         if not self.is_admitting:
-            return errors.make_problem(errors.Kind.STOPPING, 0.0)
+            stopping = errors.make_problem(errors.Kind.STOPPING, 0.0)
+            return _speak_for(head, stopping)
         try:
             with anyio.fail_after(BODY_TIMEOUT):
                 body = await asgi.read_body(receive, head.body_limit)
@@ -169,7 +173,7 @@
             victim = self._runs.find_lowest_waiting(head.tier)
             full = errors.make_problem(errors.Kind.MEMORY_FULL, 1.0)
             if victim is None:
-                return full
+                return _speak_for(head, full)
             # Somebody of a lower tier goes in its place.
             victim.stop(full, full)
         parent = trace.set_span_in_context(span)
@@ -187,6 +191,14 @@
             run.stop(gone, gone)
 
 
+def _speak_for(
+    head: admission.Head, problem: errors.Problem
+) -> errors.Problem:
+    if head.route.repeat is bundle.Repeat.AT_MOST_ONCE:
+        return errors.weaken(problem)
+    return problem
+
+
 async def _watch_caller(
     receive: asgi.Receive, scope: anyio.CancelScope
 ) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/runs.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runs.py
@@ -68,6 +68,9 @@
         self.deadline_at = deadline_at
         self.parent = parent
         self.state = RunState.CLAIMING
+        # True once the claim owner has said something of this key. Before
+        # that nobody here knows whether it has run.
+        self.has_verdict = not request.is_at_most_once
         # What the work must end with when its scope is cancelled.
         self.stop_problem: errors.Problem | None = None
         self.scope = anyio.CancelScope()
@@ -195,6 +198,8 @@
         try:
             with action.context():
                 problem = await self._run_to_end(run)
+            if problem is not None and not run.has_verdict:
+                problem = errors.weaken(problem)
         except Exception as error:
             eliot.write_traceback()
             problem = self._describe_fault(run, error)
@@ -258,6 +263,7 @@
             run.kept.ticket,
         )
         reply = await self._claims.claim(message, run.deadline_at)
+        run.has_verdict = reply.verdict is not wire.ClaimVerdict.CLOCK_OFF
         if reply.verdict is wire.ClaimVerdict.GRANTED:
             return None
         if reply.verdict in (
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -16,6 +16,7 @@
 ROWS = (
     'kill-entry',
     'kill-owner',
+    'kill-entry-and-owner',
     'freeze-owner',
     'cut-entry',
     'cut-owner',
