--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -8,6 +8,7 @@
 import collections.abc
 import contextlib
 import json
+import math
 import socket
 import typing as ty
 
@@ -15,6 +16,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from apricotlanding import addresses
+from apricotlanding import errors
 
 __all__ = [
     'App',
@@ -28,6 +30,7 @@
     'read_body',
     'read_headers',
     'send_json',
+    'send_problem',
 ]
 
 Scope = dict[str, ty.Any]
@@ -116,6 +119,29 @@
     await send_part(send, json.dumps(value).encode() + b'\n', is_last=True)
 
 
+async def send_problem(
+    send: Send,
+    problem: errors.Problem,
+    headers: HeaderList | None = None,
+    **fields: ty.Any,
+) -> None:
+    """Answer with an error, its remedy, and when to come back."""
+    found = list(headers or [])
+    value = fields | {
+        'outcome': problem.outcome.value,
+        'code': problem.code,
+        'error': problem.text,
+        'remedy': problem.remedy,
+    }
+    if problem.retry_after_s is not None:
+        seconds = math.ceil(problem.retry_after_s)
+        found.append((b'retry-after', str(seconds).encode()))
+        value['retry_after_s'] = problem.retry_after_s
+    if problem.status == 401:
+        found.append((b'www-authenticate', b'Bearer'))
+    await send_json(send, problem.status, value, found)
+
+
 @ty.final
 class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
     # The parser keeps every byte of a request's head until the head ends. A
--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -233,13 +233,6 @@
         'the request ran to its end and its answer is no longer kept',
         'the work is done; do not issue a new key for it',
     )
-    RUNNER_FAILED = Template(
-        'APL305',
-        502,
-        Outcome.UNKNOWN,
-        'the runner answered with an error: {detail}',
-        'the request may have run in part; tell the operators the request key',
-    )
     STOPPED_RUNNING = Template(
         'APL306',
         503,
@@ -291,13 +284,6 @@
         'there is nothing at {path!r}',
         'see docs/OPERATORS.md for the paths',
     )
-    LOG_UNREACHABLE = Template(
-        'APL501',
-        503,
-        Outcome.UNKNOWN,
-        "the platform's log cannot be reached: {detail}",
-        'check the address "log" in the settings and the log service',
-    )
     BAD_FRAME = Template(
         'APL502',
         400,
@@ -319,13 +305,6 @@
         'the connection to peer {host} is lost',
         'nothing to do; the daemon dials it again',
     )
-    BAD_SETTINGS = Template(
-        'APL601',
-        400,
-        Outcome.NOT_RUN,
-        '{where}: {detail}',
-        '{hint}',
-    )
 
 
 @ty.final
--- a/packages/apricotlanding/src/apricotlanding/frames.py
+++ b/packages/apricotlanding/src/apricotlanding/frames.py
@@ -13,7 +13,17 @@
 
 from apricotlanding import codec
 
-__all__ = ['FrameStream']
+__all__ = ['CONNECTION_ERRORS', 'FrameStream']
+
+# What using a connection raises when it has broken or was closed.
+CONNECTION_ERRORS = (
+    OSError,
+    TimeoutError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+)
 
 _HEADER = struct.Struct('>I')
 # Longest frame that a peer may send, in bytes. The longest that we send is
@@ -35,16 +45,12 @@
         )
         self._send_lock = anyio.Lock()
         self.limit = HANDSHAKE_LIMIT
-        # Bytes so far, with headers: the cost of control is measured here.
-        self.bytes_sent = 0
-        self.bytes_received = 0
 
     async def send(self, value: ty.Any) -> None:
         """Send one frame; anyio.BrokenResourceError if the peer is gone."""
         data = codec.pack_data(value)
         async with self._send_lock:
             await self._stream.send(_HEADER.pack(len(data)) + data)
-        self.bytes_sent += _HEADER.size + len(data)
 
     async def receive(self) -> ty.Any:
         """Return the next frame's value.
@@ -60,7 +66,6 @@
                 f'{length} bytes, {self.limit} are allowed'
             )
         data = await self._buffered.receive_exactly(length)
-        self.bytes_received += _HEADER.size + length
         return codec.unpack_data(data)
 
     async def close(self) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/answers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/answers.py
@@ -135,10 +135,6 @@
         place = (organisation, key)
         return self._open.get(place) or self._ended.get(place)
 
-    def count_open(self) -> int:
-        """Return how many requests are open."""
-        return len(self._open)
-
     def add(self, kept: Kept) -> None:
         """Add an open request."""
         self._open[kept.organisation, kept.key] = kept
--- a/packages/apricotlandingd/src/apricotlandingd/entry.py
+++ b/packages/apricotlandingd/src/apricotlandingd/entry.py
@@ -8,7 +8,6 @@
 
 import collections.abc
 import json
-import math
 import typing as ty
 
 import anyio
@@ -279,20 +278,13 @@
     problem: errors.Problem,
     request: admission.Request | None,
 ) -> None:
-    value: dict[str, ty.Any] = {
-        'outcome': problem.outcome.value,
-        'code': problem.code,
-        'error': problem.text,
-        'remedy': problem.remedy,
-    }
-    headers: asgi.HeaderList = []
-    if request is not None:
-        value['apricot-request'] = request.head.key
-        headers.append((b'apricot-request', request.head.key.encode()))
-    if problem.retry_after_s is not None:
-        seconds = math.ceil(problem.retry_after_s)
-        headers.append((b'retry-after', str(seconds).encode()))
-        value['retry_after_s'] = problem.retry_after_s
-    if problem.status == 401:
-        headers.append((b'www-authenticate', b'Bearer'))
-    await asgi.send_json(send, problem.status, value, headers)
+    if request is None:
+        await asgi.send_problem(send, problem)
+        return
+    key = request.head.key
+    await asgi.send_problem(
+        send,
+        problem,
+        [(b'apricot-request', key.encode())],
+        **{'apricot-request': key},
+    )
--- a/packages/apricotlandingd/src/apricotlandingd/operatorapi.py
+++ b/packages/apricotlandingd/src/apricotlandingd/operatorapi.py
@@ -12,7 +12,6 @@
 
 import collections.abc
 import hmac
-import math
 import typing as ty
 import urllib.parse
 import uuid
@@ -93,13 +92,13 @@
             pairs = urllib.parse.parse_qsl(scope['query_string'].decode())
             value = await handler(self, dict(pairs), body)
         except errors.Refused as error:
-            await _send_problem(send, error.problem)
+            await asgi.send_problem(send, error.problem)
             return
         except asgi.BodyTooLarge:
             problem = errors.make_problem(
                 errors.Kind.BODY_TOO_LARGE, limit=BUNDLE_LIMIT
             )
-            await _send_problem(send, problem)
+            await asgi.send_problem(send, problem)
             return
         await asgi.send_json(send, 200, value)
 
@@ -216,16 +215,3 @@
 
 def _refuse(kind: errors.Kind, **fields: object) -> errors.Refused:
     return errors.Refused(errors.make_problem(kind, None, **fields))
-
-
-async def _send_problem(send: asgi.Send, problem: errors.Problem) -> None:
-    headers: asgi.HeaderList = []
-    if problem.retry_after_s is not None:
-        seconds = math.ceil(problem.retry_after_s)
-        headers.append((b'retry-after', str(seconds).encode()))
-    value = {
-        'code': problem.code,
-        'error': problem.text,
-        'remedy': problem.remedy,
-    }
-    await asgi.send_json(send, problem.status, value, headers)
--- a/packages/apricotlandingd/src/apricotlandingd/owners.py
+++ b/packages/apricotlandingd/src/apricotlandingd/owners.py
@@ -174,13 +174,6 @@
                     self._follower, VISIT_INTERVAL
                 )
 
-    def find_right(self, shard: ids.Shard) -> leases.Right | None:
-        """Return our right to serve a shard; None if we do not serve it."""
-        held = self._held.get(shard)
-        if held is None or not held.is_serving:
-            return None
-        return held.right
-
     def list_held(self) -> list[ids.Shard]:
         """Return the shards that this daemon owns."""
         return sorted(self._held)
--- a/packages/apricotlandingd/src/apricotlandingd/peerlink.py
+++ b/packages/apricotlandingd/src/apricotlandingd/peerlink.py
@@ -113,27 +113,15 @@
             self.is_open = False
             for reply in self._replies.values():
                 reply.close()
-            with contextlib.suppress(OSError, anyio.BrokenResourceError):
+            with contextlib.suppress(*frames.CONNECTION_ERRORS):
                 await self.stream.close()
 
     async def call(self, message: object, timeout: float) -> ty.Any:
         """Return the reply; PeerLost after ``timeout`` seconds."""
-        number, parts = self._open_call()
-        try:
+        with self._open_call() as (number, parts):
             with anyio.fail_after(timeout):
                 await self._send(_FrameKind.CALL, number, message)
                 _, reply = await parts.receive()
-        except (
-            TimeoutError,
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            anyio.EndOfStream,
-        ) as error:
-            raise PeerLost(f'{self.host}: {error!r}') from error
-        finally:
-            self._replies.pop(number).close()
-            parts.close()
         return reply
 
     async def iterate(
@@ -144,8 +132,7 @@
         ``timeout`` bounds the wait for each part, in seconds. Raises
         PeerLost.
         """
-        number, parts = self._open_call(math.inf)
-        try:
+        with self._open_call(math.inf) as (number, parts):
             await self._send(_FrameKind.CALL, number, message)
             while True:
                 with anyio.fail_after(timeout):
@@ -153,17 +140,6 @@
                 yield part
                 if kind is not _FrameKind.PART:
                     return
-        except (
-            TimeoutError,
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            anyio.EndOfStream,
-        ) as error:
-            raise PeerLost(f'{self.host}: {error!r}') from error
-        finally:
-            self._replies.pop(number).close()
-            parts.close()
 
     def push(self, message: object) -> None:
         """Send a message that is not answered; dropped if that fails."""
@@ -171,15 +147,30 @@
             return
         self._group.start_soon(self._send_quietly, message)
 
-    def _open_call(self, buffer: float = 1) -> tuple[int, _Receiver]:
+    @contextlib.contextmanager
+    def _open_call(
+        self, buffer: float = 1
+    ) -> collections.abc.Iterator[tuple[int, _Receiver]]:
+        """Yield a call's number and where its answer arrives.
+
+        Turns whatever breaks a connection into PeerLost.
+        """
         if not self.is_open:
             raise PeerLost(f'{self.host}: the connection is closed')
         self._number += 1
+        number = self._number
         sender, receiver = anyio.create_memory_object_stream[
             tuple[_FrameKind, ty.Any]
         ](buffer)
-        self._replies[self._number] = sender
-        return self._number, receiver
+        self._replies[number] = sender
+        try:
+            yield number, receiver
+        except frames.CONNECTION_ERRORS as error:
+            raise PeerLost(f'{self.host}: {error!r}') from error
+        finally:
+            del self._replies[number]
+            sender.close()
+            receiver.close()
 
     async def _send(
         self, kind: _FrameKind, number: int, message: object
@@ -188,9 +179,7 @@
         await self.stream.send([int(kind), number, packed])
 
     async def _send_quietly(self, message: object) -> None:
-        with contextlib.suppress(
-            OSError, anyio.BrokenResourceError, anyio.ClosedResourceError
-        ):
+        with contextlib.suppress(*frames.CONNECTION_ERRORS):
             await self._send(_FrameKind.PUSH, 0, message)
 
     async def _read(self) -> None:
@@ -242,14 +231,12 @@
             reply = await slow(message, self.incarnation)
         except errors.Refused as error:
             reply = wire.Failed(error.problem.code, error.problem.text)
-        except (OSError, anyio.BrokenResourceError):
+        except frames.CONNECTION_ERRORS:
             return
         except Exception as error:
             eliot.write_traceback()
             reply = wire.Failed('', repr(error))
-        with contextlib.suppress(
-            OSError, anyio.BrokenResourceError, anyio.ClosedResourceError
-        ):
+        with contextlib.suppress(*frames.CONNECTION_ERRORS):
             await self._send(_FrameKind.REPLY, number, reply)
 
     async def _answer_parts(
--- a/packages/apricotlandingd/src/apricotlandingd/peers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/peers.py
@@ -37,6 +37,14 @@
 HOST_LIST_INTERVAL = 0.5
 MESH_LIMIT = 16
 NEIGHBOURS = 6
+# What ends a connection without being a fault of ours; the tasks of one
+# connection raise theirs in a group.
+_LINK_ERRORS = (
+    *frames.CONNECTION_ERRORS,
+    errors.Refused,
+    peerlink.PeerLost,
+    ExceptionGroup,
+)
 _FIRST_DELAY = 0.1
 _LAST_DELAY = 1.0
 
@@ -187,17 +195,7 @@
             if entry is not None and entry.peers is not None:
                 try:
                     await self._dial(entry)
-                except (
-                    OSError,
-                    TimeoutError,
-                    errors.Refused,
-                    peerlink.PeerLost,
-                    anyio.EndOfStream,
-                    anyio.IncompleteRead,
-                    anyio.BrokenResourceError,
-                    anyio.ClosedResourceError,
-                    ExceptionGroup,
-                ) as error:
+                except _LINK_ERRORS as error:
                     self._log_end(host, error)
             if clocks.read_monotonic() - started > _LAST_DELAY:
                 delay = _FIRST_DELAY
@@ -254,16 +252,7 @@
                     if mine is connection:
                         del self._accepted[connection.incarnation]
                     self.on_lost(connection.incarnation)
-            except (
-                OSError,
-                TimeoutError,
-                errors.Refused,
-                anyio.EndOfStream,
-                anyio.IncompleteRead,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-                ExceptionGroup,
-            ) as error:
+            except _LINK_ERRORS as error:
                 self._log_end(None, error)
 
     def _make_greeting(self) -> handshake.Greeting:
--- a/packages/apricotlandingd/src/apricotlandingd/poolclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolclient.py
@@ -175,13 +175,6 @@
         if tickets.pop(ticket.name, None) is not None:
             self._tell(ticket.pool, wire.Withdraw(ticket.pool, ticket.name))
 
-    def fail_waiting(self, problem: errors.Problem) -> None:
-        """Give up all tickets that have no runner yet."""
-        for ticket in self.list_tickets():
-            if ticket.runner is None:
-                ticket.problem = problem
-                ticket.wake()
-
     def forget_connection(self, owner: ids.Incarnation) -> None:
         """Register again with an owner whose connection was lost.
 
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -222,10 +222,6 @@
             if name not in named:
                 del self.runners[name]
 
-    def count_waiting(self) -> int:
-        """Return how many requests wait."""
-        return len(self._waiting)
-
     def count_by_tier(self) -> dict[int, int]:
         """Return how many requests wait in each tier."""
         counts: collections.Counter[int] = collections.Counter()
--- a/packages/apricotlandingd/src/apricotlandingd/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolservice.py
@@ -333,7 +333,6 @@
                 runner.reported_requests = int(report['running']) + int(
                     report['queued']
                 )
-                runner.reported_at = now - float(report['age_s'])
         except (webclient.WebError, KeyError, TypeError, ValueError):
             # Its grants go on until it has been silent for a while: one
             # lost report says nothing.
--- a/packages/apricotlandingd/src/apricotlandingd/runnerstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runnerstate.py
@@ -63,7 +63,6 @@
         self.paused_until = float('-inf')
         # From its latest load report.
         self.reported_requests = 0
-        self.reported_at = float('-inf')
         # False after load reports have failed for a while.
         self.is_reporting = True
         self.prefill_token_s = _PREFILL_TOKEN_S
--- a/tests/faultmatrix.py
+++ b/tests/faultmatrix.py
@@ -485,6 +485,15 @@
     cell.system.set_faults('log', late_appends=2, late_s=1.0)
 
 
+def heal_lists(cell: Cell) -> None:
+    cell.system.set_host_lag(0.0)
+
+
+@fault('hosts-stale', heal_lists)
+def delay_lists(cell: Cell) -> None:
+    cell.system.set_host_lag(2 * DURATION)
+
+
 @fault('straggler')
 def slow_down_engine(cell: Cell) -> None:
     cell.system.set_faults('planner-1', straggle=2 * SLOW)
