--- a/packages/apricotlandingd/src/apricotlandingd/runs.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runs.py
@@ -352,6 +352,11 @@
             finally:
                 if not is_over:
                     await self._abandon(name, model)
+                if attempt.end is relay.AttemptEnd.FAILED:
+                    # As far as we know: the engine may not have begun.
+                    self._metrics.count(
+                        'prefill.wasted', run.request.prompt_tokens
+                    )
                 self._report_attempt(ticket, attempt)
         if attempt.end is relay.AttemptEnd.NOT_TAKEN:
             run.state = RunState.WAITING
