Move idempotent work off a runner that falls silent

Cause: a request that was at an engine when it froze waited for its deadline, although it may run twice and another engine was free. Ways weighed: a timer at the entry daemon (it cannot tell a long prefill from a frozen engine), or the scheduler's word, which has the runner's load reports. At-most-once work stays.

--- a/packages/apricotlanding/src/apricotlanding/wire.py
+++ b/packages/apricotlanding/src/apricotlanding/wire.py
@@ -307,6 +307,9 @@
     epoch: ids.Epoch
     ticket: str
     runner: ids.Runner
+    # True if the runner no longer answers: a request that was started there
+    # and may run twice goes elsewhere.
+    is_lost: bool = False
 
 
 @registry.register(34)
--- a/packages/apricotlandingd/src/apricotlandingd/poolclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolclient.py
@@ -61,6 +61,8 @@
     granted_until: float = 0.0
     # Set when the scheduler or this daemon has given it up.
     problem: errors.Problem | None = None
+    # What to do when the runner that it runs on no longer answers.
+    on_lost: collections.abc.Callable[[], None] = lambda: None
     news: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def wake(self) -> None:
@@ -224,7 +226,10 @@
         if ticket is None:
             return
         if ticket.runner is not None:
-            self._tell_started(ticket)
+            if message.is_lost and message.runner == ticket.runner:
+                ticket.on_lost()
+            else:
+                self._tell_started(ticket)
             return
         ticket.granted = None
         self._register(ticket)
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -326,6 +326,14 @@
             found.append(GrantDecision(granted.waiting, granted.runner))
         return found
 
+    def list_started(self, runner: ids.Runner) -> list[GrantDecision]:
+        """Return the requests that were started on a runner."""
+        return [
+            GrantDecision(granted.waiting, granted.runner)
+            for granted in self._granted.values()
+            if granted.is_started and granted.runner == runner
+        ]
+
     def estimate_retry(self) -> float:
         """Return in how many seconds what waits now will have drained."""
         if self._drain_rate <= 0.0:
--- a/packages/apricotlandingd/src/apricotlandingd/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolservice.py
@@ -306,7 +306,7 @@
         with scope:
             try:
                 async with anyio.create_task_group() as group:
-                    group.start_soon(_follow_load, desk, runner, client)
+                    group.start_soon(self._follow_load, desk, runner, client)
                     group.start_soon(_follow_events, runner, client)
                     group.start_soon(
                         ordering.keep_ordered, runner, desk.right, client
@@ -315,37 +315,54 @@
                 with anyio.CancelScope(shield=True):
                     await client.close()
 
-
-async def _follow_load(
-    desk: _Desk,
-    runner: runnerstate.RunnerState,
-    client: webclient.WebClient,
-) -> None:
-    answered_at = clocks.read_monotonic()
-    while True:
-        now = clocks.read_monotonic()
-        try:
-            status, report = await client.call_json(
-                'GET', '/v1/load', read_timeout=LOAD_TIMEOUT
-            )
-            if status == 200:
-                answered_at = now
-                runner.reported_requests = int(report['running']) + int(
-                    report['queued']
+    async def _follow_load(
+        self,
+        desk: _Desk,
+        runner: runnerstate.RunnerState,
+        client: webclient.WebClient,
+    ) -> None:
+        answered_at = clocks.read_monotonic()
+        while True:
+            now = clocks.read_monotonic()
+            try:
+                status, report = await client.call_json(
+                    'GET', '/v1/load', read_timeout=LOAD_TIMEOUT
                 )
-        except (webclient.WebError, KeyError, TypeError, ValueError):
-            # Its grants go on until it has been silent for a while: one
-            # lost report says nothing.
-            pass
-        silent_s = clocks.read_monotonic() - answered_at
-        is_reporting = silent_s < SILENT_LIMIT
-        if is_reporting != runner.is_reporting:
-            eliot.log_message(
-                'runner:reporting', runner=runner.name, is_on=is_reporting
+                if status == 200:
+                    answered_at = now
+                    runner.reported_requests = int(report['running']) + int(
+                        report['queued']
+                    )
+            except (webclient.WebError, KeyError, TypeError, ValueError):
+                # Its grants go on until it has been silent for a while: one
+                # lost report says nothing.
+                pass
+            silent_s = clocks.read_monotonic() - answered_at
+            is_reporting = silent_s < SILENT_LIMIT
+            if is_reporting != runner.is_reporting:
+                eliot.log_message(
+                    'runner:reporting', runner=runner.name, is_on=is_reporting
+                )
+                runner.is_reporting = is_reporting
+                if not is_reporting:
+                    self._report_lost(desk, runner.name)
+                desk.wake()
+            await anyio.sleep(LOAD_INTERVAL)
+
+    def _report_lost(self, desk: _Desk, runner: ids.Runner) -> None:
+        # Its requests would wait for their deadlines. Those that may run
+        # twice and have shown nothing to their callers go elsewhere.
+        for started in desk.queue.list_started(runner):
+            self.deliver(
+                started.waiting.sender,
+                wire.Withdrawn(
+                    ids.Pool(desk.queue.pool.name),
+                    desk.right.epoch,
+                    started.waiting.entry.ticket,
+                    runner,
+                    is_lost=True,
+                ),
             )
-            runner.is_reporting = is_reporting
-            desk.wake()
-        await anyio.sleep(LOAD_INTERVAL)
 
 
 async def _follow_events(
--- a/packages/apricotlandingd/src/apricotlandingd/runs.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runs.py
@@ -15,6 +15,7 @@
 
 import collections.abc
 import enum
+import functools
 import secrets
 import typing as ty
 
@@ -339,15 +340,23 @@
         answer = run.kept.answer
         attempt = relay.Attempt()
         is_over = False
+        started_at = clocks.read_monotonic()
         with self._start_span('runner', run) as span:
             span.set_attribute('runner', runner)
             headers = tracing.write_parent(trace.set_span_in_context(span))
             run.state = RunState.SENT
             answer.runner = runner
+            scope = anyio.CancelScope()
+            ticket.on_lost = functools.partial(_move_on, run, scope)
             try:
-                attempt = await self._relay.run(
-                    run.request, name, model, answer, headers
-                )
+                with scope:
+                    attempt = await self._relay.run(
+                        run.request, name, model, answer, headers
+                    )
+                if scope.cancelled_caught:
+                    attempt = relay.Attempt(
+                        detail='it no longer answers', started_at=started_at
+                    )
                 is_over = True
             finally:
                 if not is_over:
@@ -454,6 +463,13 @@
         return self._tracer.start_as_current_span(name, where)
 
 
+def _move_on(run: Run, scope: anyio.CancelScope) -> None:
+    # Called when the runner has gone silent. What must not run twice stays:
+    # the runner may only be cut off from the scheduler.
+    if not run.request.is_at_most_once and not run.kept.answer.chunks:
+        scope.cancel()
+
+
 def _name_outcome(problem: errors.Problem | None) -> str:
     if problem is None:
         return errors.Outcome.COMPLETE.value
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -205,6 +205,27 @@
             reply = self.post(host, 'note', body, callers.make_key())
             self.assertEqual('planner-2', reply.headers['apricot-runner'])
 
+    def test_idempotent_work_leaves_a_runner_that_freezes(self) -> None:
+        # An engine stops answering with requests on it that have shown
+        # nothing yet. The scheduler notices its silence, and the daemons
+        # send those that may run twice to the other engine.
+        for name, process in self.system.processes.items():
+            if name.startswith('planner-1/'):
+                process.pause()
+        body = {'prompt': systems.make_prompt(20), 'max_tokens': 4}
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            keys = [callers.make_key() for _ in range(6)]
+            futures = [
+                pool.submit(
+                    self.post, f'entry-{number % 3 + 1}', 'note', body, key
+                )
+                for number, key in enumerate(keys)
+            ]
+            for key, future in zip(keys, futures, strict=True):
+                reply = future.result()
+                self.assertTrue(reply.is_whole(key, 4))
+                self.assertLess(reply.total_s, 30.0)
+
     def test_planned_stop_cuts_nothing(self) -> None:
         # Requests run and wait at a daemon when it is asked to stop. All
         # end whole, and the daemon then exits with 0.
