Let one flag decide whether "not run" may be said

Cause: reading the whole change again. The weakening of refusals before the claim owner was heard was put in two places and missed two ways to the same lie: a fault of ours before the claim, and an idempotent request that failed at a runner and waits again, whose state says "waiting". Stopped then, its caller was told "not-run" of work that an engine had computed. Change: a run carries may_have_run, set until the claim owner was heard and again by each failed call; one place at the end weakens the final answer. Measured: test_stop_after_a_failed_call_is_not_called_not_run failed before ('unknown' != 'not-run') and passes; test_second_signal passes still. The whole suite has not been run on this commit yet.

--- a/packages/apricotlandingd/src/apricotlandingd/runs.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runs.py
@@ -69,9 +69,11 @@
         self.deadline_at = deadline_at
         self.parent = parent
         self.state = RunState.CLAIMING
-        # True once the claim owner has said something of this key. Before
-        # that nobody here knows whether it has run.
-        self.has_verdict = not request.is_at_most_once
+        # While this is set no final answer says "not run". An earlier call
+        # under an at-most-once key may have run elsewhere, until the claim
+        # owner was heard; and a call to a runner that failed may have run,
+        # although the request waits again.
+        self.may_have_run = request.is_at_most_once
         # What the work must end with when its scope is cancelled.
         self.stop_problem: errors.Problem | None = None
         self.scope = anyio.CancelScope()
@@ -199,11 +201,11 @@
         try:
             with action.context():
                 problem = await self._run_to_end(run)
-            if problem is not None and not run.has_verdict:
-                problem = errors.weaken(problem)
         except Exception as error:
             eliot.write_traceback()
             problem = self._describe_fault(run, error)
+        if problem is not None and run.may_have_run:
+            problem = errors.weaken(problem)
         self._finish(run, problem)
         span.set_attribute('outcome', _name_outcome(problem))
         span.end()
@@ -264,7 +266,7 @@
             run.kept.ticket,
         )
         reply = await self._claims.claim(message, run.deadline_at)
-        run.has_verdict = reply.verdict is not wire.ClaimVerdict.CLOCK_OFF
+        run.may_have_run = reply.verdict is wire.ClaimVerdict.CLOCK_OFF
         if reply.verdict is wire.ClaimVerdict.GRANTED:
             return None
         if reply.verdict in (
@@ -362,6 +364,7 @@
                 if not is_over:
                     await self._abandon(name, model)
                 if attempt.end is relay.AttemptEnd.FAILED:
+                    run.may_have_run = True
                     # As far as we know: the engine may not have begun.
                     self._metrics.count(
                         'prefill.wasted', run.request.prompt_tokens
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -147,6 +147,26 @@
         reply = self.post('entry-2', 'note', self.body, key)
         self.assertTrue(reply.is_whole(key, 12), reply)
 
+    def test_stop_after_a_failed_call_is_not_called_not_run(self) -> None:
+        # An idempotent request was computed by one engine, whose answer
+        # cannot be read, and waits again, for both engines refuse it. The
+        # daemon is stopped: it has run, whatever its state is now.
+        self.system.set_faults('planner-1', malformed=1)
+        self.system.set_faults('planner-2', is_refusing=True)
+        key = callers.make_key()
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            future = pool.submit(self.post, 'entry-1', 'note', self.body, key)
+            processes.wait_until(
+                lambda: self.system.count_executions(key) > 0, 'it has run'
+            )
+            self.system.set_faults('planner-1', is_refusing=True)
+            process = self.system.daemons['entry-1'].process
+            assert process is not None
+            process.send(signal.SIGTERM)
+            time.sleep(0.5)
+            process.send(signal.SIGTERM)
+            self.assertEqual('unknown', future.result().outcome)
+
     def test_runner_that_refuses_costs_nothing(self) -> None:
         # "Not taken" is the runner's own word: another one may run it,
         # even at-most-once work.
