Name the wait for reports once

Cause: claims and claimtable each had a constant of 1.5 s for the same wait. Change: one constant, in claimtable. Behaviour as before.

--- a/packages/apricotlandingd/src/apricotlandingd/claims.py
+++ b/packages/apricotlandingd/src/apricotlandingd/claims.py
@@ -35,8 +35,6 @@
 CLAIM_PATIENCE = 5.0
 RETRY_DELAY = 0.1
 RETRY_AFTER = 2.0
-# Seconds that a new owner waits for the daemons' reports.
-REPORT_WAIT = 1.5
 # Claims in one part of a report.
 REPORT_PART = 2000
 DROP_INTERVAL = 10.0
@@ -210,7 +208,7 @@
     async def _end_report_wait(
         self, shard: ids.Shard, table: claimtable.ClaimTable
     ) -> None:
-        await anyio.sleep(REPORT_WAIT)
+        await anyio.sleep(claimtable.REPORT_WAIT)
         desk = self._desks.get(shard)
         if desk is not None and desk.table is table:
             self._open_desk(desk)
--- a/packages/apricotlandingd/src/apricotlandingd/claimtable.py
+++ b/packages/apricotlandingd/src/apricotlandingd/claimtable.py
@@ -25,8 +25,8 @@
 
 __all__ = ['Claim', 'ClaimTable', 'Pause']
 
-# Longest pause for reports before the table is looked at again, in seconds.
-_REPORT_PAUSE = 1.5
+# Seconds that a new owner waits for the daemons' reports.
+REPORT_WAIT = 1.5
 
 
 @ty.final
@@ -108,7 +108,7 @@
                 return Pause(issued - wall)
         if self._is_before_line(issued, wall):
             if not self.has_reports:
-                return Pause(_REPORT_PAUSE)
+                return Pause(REPORT_WAIT)
             return self._reply(wire.ClaimVerdict.UNKNOWN)
         self._claims[place] = Claim(
             request.digest,
