Dial a host for the call that an operator makes to it

Change: Peers.reach adds the host to those dialled while a call waits for it and returns the connection, or None if the host list does not know the name or after 5 s; longer than the longest pause between two tries. The operator then gets APL505 with its remedy.

test_peers: a host beyond the neighbours among 58 (fails with the host not added to those dialled: None after 20 s; passes with it), and an unknown name, which is refused at once.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -305,6 +305,13 @@
         'the connection to peer {host} is lost',
         'nothing to do; the daemon dials it again',
     )
+    PEER_UNREACHABLE = Template(
+        'APL505',
+        503,
+        Outcome.NOT_RUN,
+        'no connection to host {host} could be made',
+        'check the name against the host list, or ask that host itself',
+    )
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/operatorapi.py
+++ b/packages/apricotlandingd/src/apricotlandingd/operatorapi.py
@@ -37,6 +37,8 @@
 SUBMIT_TIMEOUT = 10.0
 BUNDLE_LIMIT = 16 * 1024 * 1024
 _CALL_TIMEOUT = 2.0
+# Longer than the longest pause between two tries to dial a host.
+_REACH_TIMEOUT = 5.0
 
 Query = dict[str, str]
 Handler = collections.abc.Callable[
@@ -193,15 +195,14 @@
     if host == api.peers.host:
         api.drain()
         return {'draining': host}
-    for connection in api.peers.list_dialed():
-        if connection.host != host:
-            continue
-        try:
-            await connection.call(wire.Drain(), _CALL_TIMEOUT)
-        except peerlink.PeerLost:
-            break
-        return {'draining': host}
-    raise _refuse(errors.Kind.PEER_LOST, host=host)
+    connection = await api.peers.reach(host, _REACH_TIMEOUT)
+    if connection is None:
+        raise _refuse(errors.Kind.PEER_UNREACHABLE, host=host)
+    try:
+        await connection.call(wire.Drain(), _CALL_TIMEOUT)
+    except peerlink.PeerLost:
+        raise _refuse(errors.Kind.PEER_LOST, host=host) from None
+    return {'draining': host}
 
 
 _STATES: ty.Final = {
--- a/packages/apricotlandingd/src/apricotlandingd/peers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/peers.py
@@ -7,9 +7,10 @@
 With few hosts every daemon dials every other. Above ``MESH_LIMIT`` hosts it
 dials only owners and successors of shards and its own ``NEIGHBOURS``, chosen
 by rendezvous hashing, so that the number of connections follows the number of
-shards and not that of hosts.
+shards and not that of hosts. ``reach`` dials any other host for one call.
 """
 
+import collections
 import collections.abc
 import contextlib
 import statistics
@@ -45,6 +46,7 @@
     peerlink.PeerLost,
     ExceptionGroup,
 )
+_REACH_INTERVAL = 0.05
 _FIRST_DELAY = 0.1
 _LAST_DELAY = 1.0
 
@@ -100,6 +102,8 @@
         self._hosts = hosts
         self._dialed: dict[ids.Incarnation, peerlink.Connection] = {}
         self._accepted: dict[ids.Incarnation, peerlink.Connection] = {}
+        # Hosts that a call waits for, each with the number of such calls.
+        self._reached: collections.Counter[ids.Host] = collections.Counter()
 
     def find(self, incarnation: ids.Incarnation) -> peerlink.Connection | None:
         """Return an open connection; None if there is none."""
@@ -120,6 +124,29 @@
         """Return the connections that this daemon keeps heartbeats on."""
         return list(self._dialed.values())
 
+    async def reach(
+        self, host: ids.Host, timeout: float
+    ) -> peerlink.Connection | None:
+        """Return a connection to a host, dialling it if need be.
+
+        Returns None if the host is not on the host list, or after
+        ``timeout`` seconds. A host that has just started, or that is no
+        neighbour of ours, has no connection yet; without the wait an
+        operator's call to it would fail though the host is well.
+        """
+        self._reached[host] += 1
+        try:
+            with anyio.move_on_after(timeout):
+                # An empty list is one that was not read yet.
+                while not self.listed or str(host) in self.listed:
+                    for connection in self.list_dialed():
+                        if connection.host == host:
+                            return connection
+                    await anyio.sleep(_REACH_INTERVAL)
+        finally:
+            self._reached[host] -= 1
+        return None
+
     def list_live(self) -> set[ids.Host]:
         """Return entry hosts that the platform says are live, and us."""
         found = {
@@ -180,7 +207,8 @@
         if len(known) <= MESH_LIMIT:
             return known
         near = rank_hosts(str(self.host), known)[:NEIGHBOURS]
-        return known & (self.find_needed() | set(near))
+        reached = set(+self._reached)
+        return known & (self.find_needed() | reached | set(near))
 
     def _make_dialer(
         self, host: ids.Host
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,115 @@
+"""Connections between daemons, in one process over loopback."""
+
+import collections.abc
+import math
+import typing as ty
+
+import anyio
+import anyio.abc
+import testtools
+
+from apricotlanding import addresses
+from apricotlanding import hostlist
+from apricotlanding import ids
+from apricotlanding import wire
+from apricotlandingd import peerlink
+from apricotlandingd import peers
+
+Check = collections.abc.Callable[
+    [peers.Peers], collections.abc.Coroutine[ty.Any, ty.Any, None]
+]
+
+NEAR = ids.Host('entry-1')
+HOSTS = [ids.Host(f'entry-{number}') for number in range(2, 60)]
+# The last that ``NEAR`` would choose as a neighbour.
+FAR = peers.rank_hosts(str(NEAR), HOSTS)[-1]
+# Nothing listens here.
+CLOSED = addresses.Address('127.0.0.1', 1)
+
+
+class FixedList:
+    """A host list that does not change."""
+
+    def __init__(self, entries: list[hostlist.HostEntry]) -> None:
+        self.entries = entries
+
+    async def read(self) -> list[hostlist.HostEntry]:
+        return self.entries
+
+
+class TestReach(testtools.TestCase):
+    """An operator's call reaches a daemon that no heartbeat goes to."""
+
+    def test_host_beyond_the_neighbours(self) -> None:
+        # Among many hosts a daemon dials only its neighbours and the owners
+        # of shards. An operator who drained any other through it was told
+        # that the connection is lost; it is dialled for the call instead.
+        anyio.run(serve_and_check, self.check_far_host)
+
+    def test_unknown_host(self) -> None:
+        # A name that the host list does not know has no address to dial;
+        # the operator hears so at once instead of after the limit.
+        anyio.run(serve_and_check, self.check_unknown_host)
+
+    async def check_far_host(self, near: peers.Peers) -> None:
+        self.assertEqual([], near.list_dialed())
+        connection = await near.reach(FAR, 20.0)
+        assert connection is not None
+        self.assertEqual(FAR, connection.host)
+
+    async def check_unknown_host(self, near: peers.Peers) -> None:
+        found = await near.reach(ids.Host('entry-none'), math.inf)
+        self.assertIsNone(found)
+
+
+async def serve_and_check(check: Check) -> None:
+    with anyio.fail_after(60):
+        listener = await open_listener()
+        own = await open_listener()
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        places = dict.fromkeys(HOSTS, CLOSED)
+        places[FAR] = addresses.Address('127.0.0.1', port)
+        near = make_peers(NEAR, places)
+        far = make_peers(FAR, {})
+        async with anyio.create_task_group() as group:
+            group.start_soon(far.run, listener)
+            group.start_soon(near.run, own)
+            while not near.listed:
+                await anyio.sleep(0.01)
+            await check(near)
+            group.cancel_scope.cancel()
+
+
+async def open_listener() -> anyio.abc.Listener[anyio.abc.SocketStream]:
+    listeners = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    return listeners.listeners[0]
+
+
+def make_peers(
+    host: ids.Host, places: dict[ids.Host, addresses.Address]
+) -> peers.Peers:
+    domain = ids.Domain('d1')
+    entries = [
+        hostlist.HostEntry(name, hostlist.HostState.LIVE, domain, address)
+        for name, address in places.items()
+    ]
+    router = peerlink.Router()
+    router.quick[wire.Ping] = answer_ping
+    made = peers.Peers(
+        host,
+        ids.make_incarnation(host, host, 0.0),
+        domain,
+        b'a shared key of the tests',
+        ty.cast('hostlist.HostList', FixedList(entries)),
+        router,
+    )
+    made.make_ping = make_ping
+    return made
+
+
+def make_ping() -> wire.Ping:
+    return wire.Ping(0.0, ids.Version(0), ids.Offset(0))
+
+
+def answer_ping(ping: wire.Ping, sender: ids.Incarnation) -> wire.Pong:
+    return wire.Pong(0.0, ids.Version(0), ids.Offset(0), is_draining=False)
