Give a request that waits for its claim a place in the queue

Cause, found by reasoning and then by a new fault: the tier-4 route is at-most-once and asks for its claim first. While the claim owner cannot be reached, the request waits at its daemon, unknown to the scheduler, which sheds idempotent work of higher tiers; the claim comes and it runs. Ruled out: a scheduler that sheds before all have registered (the shed ones were spread over both healthy daemons).

Change: a claim that takes longer than 0.1 s has its request registered as not ready: it counts, can be shed (first within its tier, for it could not begin anyway) and is not granted. In calm nothing changes: a claim takes a few milliseconds. Weighed: registering at once, two more messages for every at-most-once request.

The fault matrix also learns to run on a service route (manifest change); that part was not run yet.

--- a/packages/apricotlanding/src/apricotlanding/wire.py
+++ b/packages/apricotlanding/src/apricotlanding/wire.py
@@ -251,6 +251,9 @@
     runner: ids.Runner | None = None
     # Seconds that it has waited already.
     waited_s: float = 0.0
+    # False while it waits for its claim: it has a place in the queue, so
+    # that it can be shed, and is not granted a runner.
+    is_ready: bool = True
 
 
 @registry.register(30)
--- a/packages/apricotlandingd/src/apricotlandingd/poolclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolclient.py
@@ -53,6 +53,8 @@
     # Monotonic times.
     arrived_at: float
     deadline_at: float
+    # False while it waits for its claim; see ``poolqueue``.
+    is_ready: bool = False
     avoid: list[ids.Runner] = dataclasses.field(default_factory=list)
     # Where it runs now.
     runner: ids.Runner | None = None
@@ -83,6 +85,7 @@
             avoid=self.avoid,
             runner=self.runner,
             waited_s=now - self.arrived_at,
+            is_ready=self.is_ready,
         )
 
 
@@ -138,7 +141,11 @@
         ]
 
     def add(self, ticket: Ticket) -> None:
-        """Register a ticket; ``wait`` for its grant."""
+        """Register a ticket; ``wait`` for its grant.
+
+        One that is not ready only takes its place in the queue and is
+        added again when it is.
+        """
         tickets = self._tickets.setdefault(ticket.pool, {})
         tickets[ticket.name] = ticket
         self._register(ticket)
@@ -162,6 +169,12 @@
             with anyio.move_on_after(ticket.deadline_at - now):
                 await ticket.news.wait()
 
+    async def wait_given_up(self, ticket: Ticket) -> None:
+        """Wait until a ticket that is not ready has been shed."""
+        while ticket.problem is None:
+            ticket.news = anyio.Event()
+            await ticket.news.wait()
+
     def release(self, ticket: Ticket, message: wire.Finished) -> None:
         """Say that the ticket's request has left its runner."""
         ticket.runner = None
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -10,6 +10,10 @@
 Engines have no priorities, so the wait is here and not there: a runner is
 granted only what its batch can hold.
 
+A request that still waits for its claim is *held*: it counts, and can be
+shed, but is not granted. Were it unknown here, ones of a higher tier would
+be shed while it waits elsewhere, and it would run when its claim comes.
+
 Shedding has one rule for all its reasons: only the lowest tier that waits is
 shed. Within it the organisation that waits with the most tokens for its
 weight gives its newest request. What was shed counts as waiting until the
@@ -109,6 +113,9 @@
 
     def __init__(self) -> None:
         self.lanes: dict[ids.Organisation, _Lane] = {}
+        # Requests that are not ready to be granted, by ticket.
+        self.held: dict[str, Waiting] = {}
+        # Held ones and those in lanes.
         self.count = 0
         # Shed requests, by ticket, that their daemons may still keep.
         self.unconfirmed: dict[str, Waiting] = {}
@@ -117,6 +124,10 @@
         self._floor = 0.0
 
     def add(self, waiting: Waiting) -> None:
+        self.count += 1
+        if not waiting.entry.is_ready:
+            self.held[waiting.entry.ticket] = waiting
+            return
         name = waiting.entry.organisation
         lane = self.lanes.get(name)
         if lane is None:
@@ -130,7 +141,6 @@
             self._push(name, lane)
         lane.items.append(waiting)
         lane.tokens += waiting.tokens
-        self.count += 1
 
     def peek(self) -> Waiting | None:
         while self._heap:
@@ -159,13 +169,18 @@
     def discard(self, waiting: Waiting) -> None:
         # Marks a request as gone; its place is cleared when it comes up.
         waiting.is_gone = True
+        self.count -= 1
+        if self.held.pop(waiting.entry.ticket, None) is not None:
+            return
         lane = self.lanes[waiting.entry.organisation]
         lane.tokens -= waiting.tokens
-        self.count -= 1
 
     def find_excess(self) -> Waiting | None:
         # Returns the newest request of the organisation that waits with
-        # the most tokens for its weight.
+        # the most tokens for its weight; before it, one that could not
+        # begin now even if there were room.
+        if self.held:
+            return next(reversed(self.held.values()))
         lanes = [lane for lane in self.lanes.values() if lane.tokens > 0]
         if not lanes:
             return None
@@ -175,6 +190,7 @@
         return lane.items[-1]
 
     def iterate(self) -> ty.Iterator[Waiting]:
+        yield from self.held.values()
         for lane in self.lanes.values():
             for waiting in lane.items:
                 if not waiting.is_gone:
@@ -240,8 +256,11 @@
         if known is not None and entry.runner is None:
             # Its grant was not used; it waits again.
             self._take_back(known)
-        if entry.ticket in self._waiting:
-            return
+        held = self._waiting.get(entry.ticket)
+        if held is not None:
+            if held.entry.is_ready or not entry.is_ready:
+                return
+            self._drop_waiting(held)
         # A daemon that registers what was shed has not heard of it.
         self._confirm(entry.ticket)
         waiting = Waiting(
--- a/packages/apricotlandingd/src/apricotlandingd/runs.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runs.py
@@ -43,6 +43,12 @@
 __all__ = ['Run', 'RunState', 'Runs']
 
 
+# A claim that takes longer than this, in seconds, has its request wait in the
+# pool's queue. In calm a claim takes a few milliseconds, and then this saves
+# two messages for each request.
+HOLD_AFTER = 0.1
+
+
 class RunState(enum.Enum):
     """How far a request has come."""
 
@@ -240,20 +246,53 @@
 
     async def _claim_and_dispatch(self, run: Run) -> errors.Problem | None:
         request = run.request
-        if request.is_at_most_once:
-            with self._start_span('claim', run):
-                holder = await self._claim(run)
-            if holder is not None:
-                return await self._copy_answer(run, holder)
-        run.kept.is_claimed = True
-        self._metrics.count(f'admitted.{request.head.tier_name}')
         ticket = self._make_ticket(run)
-        self._pools.add(ticket)
         try:
+            if request.is_at_most_once:
+                with self._start_span('claim', run):
+                    holder = await self._claim_in_line(run, ticket)
+                if holder is not None:
+                    self._pools.remove(ticket)
+                    return await self._copy_answer(run, holder)
+            run.kept.is_claimed = True
+            self._metrics.count(f'admitted.{request.head.tier_name}')
+            ticket.is_ready = True
+            self._pools.add(ticket)
             return await self._dispatch(run, ticket)
         finally:
             self._pools.remove(ticket)
 
+    async def _claim_in_line(
+        self, run: Run, ticket: poolclient.Ticket
+    ) -> wire.ClaimReply | None:
+        # Claims the key and, if that takes long, waits in the pool's queue
+        # meanwhile, where the request can be shed.
+        refusal: errors.Refused | None = None
+        holder: wire.ClaimReply | None = None
+        is_over = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._keep_place, ticket, group.cancel_scope)
+            try:
+                holder = await self._claim(run)
+            except errors.Refused as error:
+                refusal = error
+            is_over = True
+            group.cancel_scope.cancel()
+        if refusal is not None:
+            raise refusal
+        if not is_over:
+            assert ticket.problem is not None
+            raise errors.Refused(ticket.problem)
+        return holder
+
+    async def _keep_place(
+        self, ticket: poolclient.Ticket, scope: anyio.CancelScope
+    ) -> None:
+        await anyio.sleep(HOLD_AFTER)
+        self._pools.add(ticket)
+        await self._pools.wait_given_up(ticket)
+        scope.cancel()
+
     async def _claim(self, run: Run) -> wire.ClaimReply | None:
         # Returns the reply of a holder to attach to; None if granted.
         request = run.request
--- a/packages/apricotstandins/src/apricotstandins/plainservice.py
+++ b/packages/apricotstandins/src/apricotstandins/plainservice.py
@@ -15,12 +15,16 @@
 
 __all__ = ['PlainService']
 
+_POLL_INTERVAL = 0.02
+
 
 @dataclasses.dataclass(slots=True)
 class Faults:
     """What goes wrong now."""
 
     delay_s: float = 0.0
+    # Take calls and answer none until this is over.
+    is_frozen: bool = False
     # Refuse calls, saying that they were not taken.
     is_refusing: bool = False
     # Run this many calls and cut the connection in place of an answer.
@@ -65,6 +69,8 @@
         key = asgi.read_headers(scope).get('idempotency-key', '')
         self.executions[key] += 1
         await anyio.sleep(self.faults.delay_s)
+        while self.faults.is_frozen:
+            await anyio.sleep(_POLL_INTERVAL)
         if self.faults.cut_answers > 0:
             self.faults.cut_answers -= 1
             raise ConnectionAbortedError('cut by the stand-in')
--- a/tests/faultmatrix.py
+++ b/tests/faultmatrix.py
@@ -38,6 +38,8 @@
 SETTLE = 1.0
 # Makes a decode step last about a tenth of a second.
 SLOW = 20.0
+# Seconds that a slow service takes for a call.
+SLOW_CALL = 3.0
 
 COMPLETE = frozenset({'complete'})
 UNKNOWN = frozenset({'unknown'})
@@ -74,12 +76,65 @@
     return file_step
 
 
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """A kind of at-most-once request and its back ends."""
+
+    route: str
+    kind: str
+    body: dict[str, ty.Any]
+    # Faults of a back end that works slowly, of one that takes requests and
+    # does nothing, and of one that is well.
+    slow: dict[str, ty.Any]
+    frozen: dict[str, ty.Any]
+    calm: dict[str, ty.Any]
+    # What the straggler does, and the connection that breaks.
+    straggler: dict[str, ty.Any]
+    cut: dict[str, ty.Any]
+
+    def list_plans(
+        self, system: deployment.Deployment
+    ) -> list[deployment.RunnerPlan]:
+        return [plan for plan in system.runners if plan.kind == self.kind]
+
+    def is_whole(self, reply: callers.Reply, key: str) -> bool:
+        if self.kind == 'engine':
+            return reply.is_whole(key, TOKENS)
+        lines = reply.read_lines()
+        return reply.outcome == 'complete' and lines[0].get('key') == key
+
+
+MODEL_WORK: ty.Final = Work(
+    route='rebuild',
+    kind='engine',
+    body={'prompt': systems.make_prompt(64), 'max_tokens': TOKENS},
+    slow={'straggle': SLOW},
+    frozen={'is_frozen': True},
+    calm={'straggle': 1.0, 'is_frozen': False},
+    straggler={'straggle': 2 * SLOW},
+    cut={'cut_streams': 1, 'cut_after': 3},
+)
+SERVICE_WORK: ty.Final = Work(
+    route='manifest',
+    kind='service',
+    body={'site': 7, 'crates': 12},
+    slow={'delay_s': SLOW_CALL},
+    frozen={'is_frozen': True},
+    calm={'delay_s': 0.0, 'is_frozen': False, 'cut_answers': 0},
+    straggler={'delay_s': 2 * SLOW_CALL},
+    cut={'cut_answers': 1},
+)
+
+
 class Caller(threading.Thread):
     """Posts one request until it knows how it ended."""
 
-    def __init__(self, system: deployment.Deployment, key: str) -> None:
+    def __init__(
+        self, system: deployment.Deployment, work: Work, key: str
+    ) -> None:
         super().__init__(daemon=True)
         self.system = system
+        self.work = work
         self.key = key
         self.hosts: list[str] = []
         self.replies: list[callers.Reply] = []
@@ -112,9 +167,9 @@
     def post(self, host: str, seconds: float) -> callers.Reply:
         return callers.post_request(
             self.system.daemons[host].callers,
-            'rebuild',
+            self.work.route,
             systems.FESTIN,
-            {'prompt': systems.make_prompt(64), 'max_tokens': TOKENS},
+            self.work.body,
             self.key,
             deadline_ms=max(int(seconds * 1000), 1),
             timeout=seconds + 1.0,
@@ -143,16 +198,21 @@
     """One fault at one step."""
 
     def __init__(
-        self, system: deployment.Deployment, name: str, draw: random.Random
+        self,
+        system: deployment.Deployment,
+        work: Work,
+        name: str,
+        draw: random.Random,
     ) -> None:
         self.system = system
+        self.work = work
         self.fault = faults[name]
         self.draw = draw
         self.hosts = list(system.daemons)
         self.entry = draw.choice(self.hosts)
         time.sleep(SETTLE)
         self.key, self.owner = self._choose_key()
-        self.caller = Caller(system, self.key)
+        self.caller = Caller(system, work, self.key)
         others = [host for host in self.hosts if host != self.entry]
         draw.shuffle(others)
         self.others = others
@@ -180,11 +240,8 @@
         self.system.wait_ready()
 
     def calm(self) -> None:
-        for plan in self.system.runners:
-            if plan.kind == 'engine':
-                self.system.set_faults(
-                    plan.name, straggle=1.0, is_frozen=False
-                )
+        for plan in self.work.list_plans(self.system):
+            self.system.set_faults(plan.name, **self.work.calm)
 
     def restart_dead(self) -> None:
         for host, place in self.system.daemons.items():
@@ -193,24 +250,26 @@
                 self.system.start_daemon(host)
                 self.system.wait_for_http(place.callers, '/healthz')
 
-    def slow_engines(self) -> None:
-        for plan in self.system.runners:
-            if plan.kind == 'engine':
-                self.system.set_faults(plan.name, straggle=SLOW)
+    def slow_runners(self) -> None:
+        for plan in self.work.list_plans(self.system):
+            self.system.set_faults(plan.name, **self.work.slow)
+
+    def freeze_runners(self) -> None:
+        for plan in self.work.list_plans(self.system):
+            self.system.set_faults(plan.name, **self.work.frozen)
 
-    def freeze_engines(self, is_frozen: bool) -> None:
-        for plan in self.system.runners:
+    def thaw_runners(self) -> None:
+        for plan in self.work.list_plans(self.system):
             address = self.system.runner_addresses[plan.name]
             probe = callers.call_http(address, 'GET', '/standin/witness')
             # One that the fault has killed is restarted without faults.
-            if plan.kind == 'engine' and probe.status == 200:
-                self.system.set_faults(plan.name, is_frozen=is_frozen)
+            if probe.status == 200:
+                self.system.set_faults(plan.name, is_frozen=False)
 
     def hold_grants(self, is_held: bool) -> None:
         state = 'leaving' if is_held else 'live'
-        for plan in self.system.runners:
-            if plan.kind == 'engine':
-                self.system.set_host_state(plan.name, state)
+        for plan in self.work.list_plans(self.system):
+            self.system.set_host_state(plan.name, state)
 
     def wait_started(self) -> None:
         processes.wait_until(
@@ -293,16 +352,16 @@
 
 @step('before-first-byte')
 def strike_before_first_byte(cell: Cell) -> None:
-    cell.freeze_engines(True)
+    cell.freeze_runners()
     cell.caller.start()
     processes.wait_until(lambda: _is_accepted(cell), 'the engine has it')
     cell.strike()
-    cell.freeze_engines(False)
+    cell.thaw_runners()
 
 
 @step('mid-stream')
 def strike_mid_stream(cell: Cell) -> None:
-    cell.slow_engines()
+    cell.slow_runners()
     cell.caller.start()
     cell.wait_started()
     cell.strike()
@@ -312,17 +371,17 @@
 def strike_after_end(cell: Cell) -> None:
     # The caller goes away while it waits and comes back elsewhere.
     address = cell.system.daemons[cell.entry].callers
-    cell.freeze_engines(True)
+    cell.freeze_runners()
     callers.post_request(
         address,
-        'rebuild',
+        cell.work.route,
         systems.FESTIN,
-        {'prompt': systems.make_prompt(64), 'max_tokens': TOKENS},
+        cell.work.body,
         cell.key,
         deadline_ms=int(DEADLINE * 1000),
         timeout=0.5,
     )
-    cell.freeze_engines(False)
+    cell.thaw_runners()
     cell.wait_started()
     processes.wait_until(
         lambda: cell.system.read_status(cell.entry).get('open_requests') == 0,
@@ -343,7 +402,7 @@
 
 @step('drain')
 def strike_in_drain(cell: Cell) -> None:
-    cell.slow_engines()
+    cell.slow_runners()
     cell.caller.start()
     cell.wait_started()
     cell.process(cell.entry).send(signal.SIGTERM)
@@ -353,7 +412,7 @@
 
 @step('roll-out')
 def strike_in_roll_out(cell: Cell) -> None:
-    cell.slow_engines()
+    cell.slow_runners()
     cell.caller.start()
     cell.wait_started()
     submitter = threading.Thread(target=_submit_next, args=[cell])
@@ -364,12 +423,17 @@
 
 def _is_accepted(cell: Cell) -> bool:
     return any(
-        cell.key in cell.system.read_witness(plan.name)['accepted']
-        for plan in cell.system.runners
-        if plan.kind == 'engine'
+        _has_accepted(cell, plan) for plan in cell.work.list_plans(cell.system)
     )
 
 
+def _has_accepted(cell: Cell, plan: deployment.RunnerPlan) -> bool:
+    # A service executes a call as soon as it has it.
+    witness = cell.system.read_witness(plan.name)
+    found = witness.get('accepted', witness['executions'])
+    return cell.key in found
+
+
 def _submit_next(cell: Cell) -> None:
     host = next(name for name in cell.others if name != cell.owner)
     version = cell.system.read_status(host).get('bundle', 0)
@@ -496,15 +560,14 @@
 
 @fault('straggler')
 def slow_down_engine(cell: Cell) -> None:
-    cell.system.set_faults('planner-1', straggle=2 * SLOW)
+    plan = cell.work.list_plans(cell.system)[0]
+    cell.system.set_faults(plan.name, **cell.work.straggler)
 
 
 @fault('kill-runner', restart_runners)
 def kill_runner(cell: Cell) -> None:
-    for plan in cell.system.runners:
-        if plan.kind != 'engine':
-            continue
-        if cell.key in cell.system.read_witness(plan.name)['accepted']:
+    for plan in cell.work.list_plans(cell.system):
+        if _has_accepted(cell, plan):
             break
     found = [
         process
@@ -516,14 +579,13 @@
 
 @fault('cut-stream')
 def cut_stream(cell: Cell) -> None:
-    for plan in cell.system.runners:
-        if plan.kind == 'engine':
-            cell.system.set_faults(plan.name, cut_streams=1, cut_after=3)
+    for plan in cell.work.list_plans(cell.system):
+        cell.system.set_faults(plan.name, **cell.work.cut)
 
 
 @fault('retry-elsewhere')
 def retry_elsewhere(cell: Cell) -> None:
-    second = Caller(cell.system, cell.key)
+    second = Caller(cell.system, cell.work, cell.key)
     second.hosts = list(reversed(cell.others))
     second.start()
 
@@ -580,9 +642,14 @@
 }
 
 
-def find_expected(fault_name: str, step_name: str) -> frozenset[str]:
+def find_expected(
+    fault_name: str, step_name: str, work: Work = MODEL_WORK
+) -> frozenset[str]:
     if step_name == 'takeover':
         return EITHER
+    if work is SERVICE_WORK and fault_name == 'cut-stream':
+        # A service's answer cannot be resumed, and its call not repeated.
+        return COMPLETE if step_name == 'after-end' else UNKNOWN
     return EXPECTED.get((fault_name, step_name), COMPLETE)
 
 
@@ -610,10 +677,15 @@
 
 
 def run_cell(
-    system: deployment.Deployment, fault_name: str, step_name: str, seed: int
+    system: deployment.Deployment,
+    work: Work,
+    fault_name: str,
+    step_name: str,
+    seed: int,
 ) -> list[str]:
     """Run one cell; return what was wrong."""
-    cell = Cell(system, fault_name, random.Random(f'{seed}{step_name}'))
+    draw = random.Random(f'{seed}{step_name}')
+    cell = Cell(system, work, fault_name, draw)
     caller = cell.caller
     try:
         cell.run(step_name)
@@ -621,11 +693,11 @@
         return [f'{error} (seed {seed}, was told {caller.list_words()})']
     wrong = list(caller.untrue)
     last = caller.find_last()
-    if last.outcome not in find_expected(fault_name, step_name):
+    if last.outcome not in find_expected(fault_name, step_name, work):
         wrong.append(f'last word {last.outcome} {last.code}')
     if caller.total_s > DEADLINE + 2.0:
         wrong.append(f'last word after {caller.total_s:.1f} s')
-    if last.outcome == 'complete' and not last.is_whole(cell.key, TOKENS):
+    if last.outcome == 'complete' and not work.is_whole(last, cell.key):
         wrong.append('the answer is not whole or not its own')
     count = count_executions(system, cell.key)
     if count > 1:
@@ -641,6 +713,7 @@
 
 def run_row(
     system: deployment.Deployment,
+    work: Work,
     fault_name: str,
     step_names: collections.abc.Iterable[str],
     seed: int,
@@ -650,7 +723,7 @@
     watch.start()
     results: dict[str, list[str]] = {}
     for name in step_names:
-        results[name] = run_cell(system, fault_name, name, seed)
+        results[name] = run_cell(system, work, fault_name, name, seed)
     watch.is_over.set()
     watch.join()
     if watch.fallen:
--- a/tests/run_matrix.py
+++ b/tests/run_matrix.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import concurrent.futures
+import functools
 import pathlib
 import sys
 
@@ -62,9 +63,15 @@
         return {name: future.result() for name, future in futures.items()}
 
 
-def describe_word(fault: str, name: str) -> str:
-    """Return what the last word of a cell may be."""
-    return ' or '.join(sorted(faultmatrix.find_expected(fault, name)))
+def describe_words(work: faultmatrix.Work) -> Describe:
+    """Return what tells a cell's possible last words."""
+
+    def describe(fault: str, name: str) -> str:
+        return ' or '.join(
+            sorted(faultmatrix.find_expected(fault, name, work))
+        )
+
+    return describe
 
 
 def has_failed(results: Results) -> bool:
@@ -86,6 +93,14 @@
     one = run_rows(
         faultmatrix.faults, test_fault_matrix.run_row, seed, side_by_side
     )
+    service = run_rows(
+        faultmatrix.faults,
+        functools.partial(
+            test_fault_matrix.run_row, work=faultmatrix.SERVICE_WORK
+        ),
+        seed,
+        side_by_side,
+    )
     # A burst loads the machine more than one request does.
     many = run_rows(
         tiermatrix.faults,
@@ -95,11 +110,22 @@
     )
     text = '\n'.join(
         [
-            f'## One request (seed {seed})',
-            '',
             'A cell shows what its last word may be, or FAILED.',
             '',
-            write_table(one, faultmatrix.steps, describe_word),
+            f'## One request to a model (seed {seed})',
+            '',
+            write_table(
+                one,
+                faultmatrix.steps,
+                describe_words(faultmatrix.MODEL_WORK),
+            ),
+            f'## One request to a service (seed {seed})',
+            '',
+            write_table(
+                service,
+                faultmatrix.steps,
+                describe_words(faultmatrix.SERVICE_WORK),
+            ),
             f'## An overload (seed {seed})',
             '',
             write_table(many, tiermatrix.steps, lambda fault, name: 'held'),
@@ -108,7 +134,7 @@
     output.mkdir(exist_ok=True)
     (output / 'MATRIX.md').write_text(text)
     click.echo(text)
-    sys.exit(1 if has_failed(one) or has_failed(many) else 0)
+    sys.exit(1 if any(map(has_failed, (one, service, many))) else 0)
 
 
 if __name__ == '__main__':
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -25,7 +25,9 @@
 )
 
 
-def run_row(name: str, seed: int) -> dict[str, list[str]]:
+def run_row(
+    name: str, seed: int, work: faultmatrix.Work = faultmatrix.MODEL_WORK
+) -> dict[str, list[str]]:
     """Run a whole row on a system of its own."""
     with tempfile.TemporaryDirectory() as directory:
         system = deployment.Deployment(pathlib.Path(directory))
@@ -34,7 +36,9 @@
         system.ownership['outage_limit_s'] = 8.0
         try:
             system.start_all()
-            return faultmatrix.run_row(system, name, faultmatrix.steps, seed)
+            return faultmatrix.run_row(
+                system, work, name, faultmatrix.steps, seed
+            )
         finally:
             system.stop()
 
--- a/tests/test_pool_queue.py
+++ b/tests/test_pool_queue.py
@@ -74,24 +74,79 @@
     def register(
         self, ticket: str, tier: int, sender: ids.Incarnation
     ) -> None:
-        entry = wire.Registration(
-            ticket=ticket,
-            organisation=ids.Organisation('festin'),
-            tier=ids.Tier(tier),
-            weight=1.0,
-            prompt_tokens=100,
-            output_tokens=10,
-            deadline_s=60.0,
-            prefix=[],
-            avoid=[],
-            runner=None,
-            waited_s=0.0,
-        )
-        self.queue.register(entry, sender, 0.0)
+        self.queue.register(make_entry(ticket, tier), sender, 0.0)
 
     def shed(self) -> set[str]:
-        decided = self.queue.decide(1.0, may_shed=True)
-        return {item.waiting.entry.ticket for item in decided}
+        return decide(self.queue)
+
+
+class TestHeld(testtools.TestCase):
+    """A request that waits for its claim has a place in the queue.
+
+    The owner of its claim cannot be reached for a while. It waits at its
+    daemon, unknown to the scheduler, which sheds ones of a higher tier; the
+    claim comes and it runs. Seen in the tier matrix at cut-pair, filling.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.queue = poolqueue.PoolQueue(make_pool())
+        self.queue.register(make_entry('low', 4, is_ready=False), FAR, 0.0)
+
+    def test_is_not_granted(self) -> None:
+        self.assertEqual(set(), decide(self.queue))
+
+    def test_is_shed_before_a_higher_tier(self) -> None:
+        self.close_runners()
+        for number in range(ROOM):
+            self.queue.register(make_entry(f'high-{number}', 1), NEAR, 0.0)
+        self.assertEqual({'low'}, decide(self.queue))
+
+    def test_does_not_hold_up_its_tier(self) -> None:
+        self.queue.register(make_entry('next', 4), FAR, 0.0)
+        self.assertEqual({'next'}, decide(self.queue))
+
+    def test_is_granted_once_ready(self) -> None:
+        # Registered twice, as after a connection that broke.
+        for _ in range(2):
+            self.queue.register(make_entry('low', 4), FAR, 0.0)
+        self.assertEqual({'low'}, decide(self.queue))
+        self.assertEqual(set(), decide(self.queue))
+
+    def test_old_word_does_not_hold_it_again(self) -> None:
+        self.queue.register(make_entry('low', 4), FAR, 0.0)
+        self.queue.register(make_entry('low', 4, is_ready=False), FAR, 0.0)
+        self.assertEqual({'low'}, decide(self.queue))
+
+    def test_is_forgotten(self) -> None:
+        self.queue.withdraw('low')
+        self.assertEqual(0, sum(self.queue.count_by_tier().values()))
+
+    def close_runners(self) -> None:
+        for runner in self.queue.runners.values():
+            runner.is_leaving = True
+
+
+def make_entry(
+    ticket: str, tier: int, is_ready: bool = True
+) -> wire.Registration:
+    return wire.Registration(
+        ticket=ticket,
+        organisation=ids.Organisation('festin'),
+        tier=ids.Tier(tier),
+        weight=1.0,
+        prompt_tokens=100,
+        output_tokens=10,
+        deadline_s=60.0,
+        prefix=[],
+        avoid=[],
+        is_ready=is_ready,
+    )
+
+
+def decide(queue: poolqueue.PoolQueue) -> set[str]:
+    decided = queue.decide(1.0, may_shed=True)
+    return {item.waiting.entry.ticket for item in decided}
 
 
 def make_pool() -> bundle.PoolModel:
--- a/tests/tiermatrix.py
+++ b/tests/tiermatrix.py
@@ -11,6 +11,7 @@
 import collections.abc
 import concurrent.futures
 import dataclasses
+import itertools
 import random
 import signal
 import time
@@ -208,6 +209,18 @@
     cell.system.cut_log(cell.target, True)
 
 
+def _cut_pair(cell: Cell) -> None:
+    # The two that are not the scheduler lose only each other: claims of one
+    # at the other wait, and its queue is fed by both.
+    pair = [host for host in cell.system.daemons if host != cell.scheduler]
+    cell.system.set_links(
+        **{
+            f'{source}>{target}': {'cut_forward': True, 'cut_back': True}
+            for source, target in itertools.permutations(pair)
+        }
+    )
+
+
 def _stop_log(cell: Cell) -> None:
     cell.system.set_faults('log', is_out=True)
 
@@ -234,6 +247,11 @@
     cell.system.cut_log(cell.target, False)
 
 
+def _heal_all_links(cell: Cell) -> None:
+    for host in cell.system.daemons:
+        cell.system.cut_host(host, False)
+
+
 def _heal_log(cell: Cell) -> None:
     cell.system.set_faults('log', is_out=False, delay_s=0.0, lost_replies=0)
 
@@ -255,6 +273,7 @@
         f'cut-{_role}-log': Fault(_role, _cut_log, _heal_links),
     }
 faults |= {
+    'cut-pair': Fault('', _cut_pair, _heal_all_links),
     'log-out': Fault('', _stop_log, _heal_log),
     'log-slow': Fault('', _slow_log, _heal_log),
     'log-replies-lost': Fault('', _lose_replies, _heal_log),
