Keep a part of a pool's slots for short requests

Cause: at load 1.5 notes had 31% and at 3.0 4 to 5%, although a note takes a slot for some 60 ms and a rebuild for seconds: under strict order no note begins while a rebuild waits, and there always is one. All slots are full of long work. Engines cannot preempt.

Ruled out: eager shedding alone (the check for hopeless requests is right as long as nothing short may begin).

Change: long requests (over 256 tokens) leave an eighth of the pool's slots, settings short_tokens and short_part; while a long one waits, short ones of lower tiers take no more than that. Shedding is as strict as before; the check for hopeless requests counts only short ones ahead of a short one.

--- a/packages/apricotlanding/src/apricotlanding/bundle.py
+++ b/packages/apricotlanding/src/apricotlanding/bundle.py
@@ -198,6 +198,10 @@
     queue_requests: _Positive = 1000
     # Most tokens that wait in the whole pool.
     queue_tokens: _Positive = 10_000_000
+    # A request of at most so many tokens, prompt and output, is short.
+    short_tokens: _Positive = 256
+    # Part of the pool's slots that only short requests may take.
+    short_part: ty.Annotated[float, pydantic.Field(ge=0, le=0.5)] = 0.125
     runners: ty.Annotated[list[RunnerModel], pydantic.Field(min_length=1)]
 
 
--- a/packages/apricotlandingd/src/apricotlandingd/policies.py
+++ b/packages/apricotlandingd/src/apricotlandingd/policies.py
@@ -55,6 +55,8 @@
     has_limits: bool
     # True: among the first that wait, one whose prefix is cached goes first.
     has_lookahead: bool
+    # True: short requests have slots that long ones may not take.
+    has_short_slots: bool
 
 
 _policies: dict[str, Policy] = {}
@@ -65,6 +67,7 @@
     has_tiers: bool = True,
     has_limits: bool = True,
     has_lookahead: bool = False,
+    has_short_slots: bool = False,
 ) -> collections.abc.Callable[[Choose], Choose]:
     """Return a decorator that files a policy under a name."""
 
@@ -72,7 +75,12 @@
         if name in _policies:
             raise ValueError(f'policy {name!r} stands twice')
         _policies[name] = Policy(
-            name, choose, has_tiers, has_limits, has_lookahead
+            name,
+            choose,
+            has_tiers,
+            has_limits,
+            has_lookahead,
+            has_short_slots,
         )
         return choose
 
@@ -113,7 +121,7 @@
     return min(choice.candidates, key=lambda item: item.count_requests())
 
 
-@register('prefix-aware', has_lookahead=True)
+@register('prefix-aware', has_lookahead=True, has_short_slots=True)
 def choose_by_finish(choice: Choice) -> runnerstate.RunnerState | None:
     """Take the runner on which the request is expected to end first.
 
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -21,6 +21,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import heapq
 import itertools
@@ -65,6 +66,8 @@
     deadline_at: float
     # Queue that it was put in; 0 for all under a policy without tiers.
     rank: int
+    # At most the pool's ``short_tokens``, and a policy that minds it.
+    is_short: bool
     is_gone: bool = False
     # How often a later one of its organisation was taken before it.
     passed: int = 0
@@ -237,6 +240,9 @@
         self._draw = random.Random(seed)  # noqa: S311
         self._turn = 0
         self._waiting_tokens = 0
+        self._waiting_short_tokens = 0
+        # Set while the queue is gone through, once a long one has no room.
+        self._is_long_waiting = False
         # Tokens that end in a second while the pool is saturated.
         self._drain_rate = 0.0
         self._ended_tokens = 0
@@ -286,6 +292,7 @@
             arrived_at=now - entry.waited_s,
             deadline_at=now + entry.deadline_s,
             rank=entry.tier if self.policy.has_tiers else 0,
+            is_short=self._is_short(entry),
         )
         if entry.runner is not None:
             self._place(waiting, entry.runner, now, is_started=True)
@@ -404,14 +411,23 @@
     def _grant_all(
         self, now: float
     ) -> ty.Iterator[GrantDecision | ShedDecision]:
+        self._is_long_waiting = False
         for rank in sorted(self._tiers):
             tier = self._tiers[rank]
             while options := tier.list_next(LOOKAHEAD):
+                is_short = options[0].is_short
+                if self._is_long_waiting and not is_short:
+                    break
                 runner = self._choose_runner(options[0], now)
-                if runner is None:
+                if runner is None and is_short:
                     # Nothing may overtake it: were smaller requests let
                     # past, a large one would wait for ever.
                     return
+                if runner is None:
+                    # Nothing but short requests of lower tiers, which take
+                    # slots that it may not have.
+                    self._is_long_waiting = True
+                    break
                 waiting = self._choose_waiting(options, runner)
                 tier.take(waiting)
                 self._forget_waiting(waiting)
@@ -421,6 +437,35 @@
                 self._place(waiting, runner.name, now, is_started=False)
                 yield GrantDecision(waiting, runner.name)
 
+    def _is_short(self, entry: wire.Registration) -> bool:
+        if not self.policy.has_short_slots:
+            return False
+        tokens = entry.prompt_tokens + entry.output_tokens
+        return tokens <= self.pool.short_tokens
+
+    def _has_slot(
+        self,
+        waiting: Waiting,
+        usable: collections.abc.Iterable[runnerstate.RunnerState],
+    ) -> bool:
+        # Long requests would hold every slot for seconds while hundreds of
+        # short ones, which take one for some milliseconds each, wait and
+        # miss their deadlines. So long ones never take the reserved slots,
+        # and while one waits short ones take no others.
+        if not self.policy.has_short_slots:
+            return True
+        if waiting.is_short and not self._is_long_waiting:
+            return True
+        slots = short = total = 0
+        for runner in usable:
+            slots += runner.model.slots
+            short += runner.short_count
+            total += len(runner.occupied)
+        reserved = round(self.pool.short_part * slots)
+        if waiting.is_short:
+            return short < reserved
+        return total - short < slots - reserved
+
     def _choose_waiting(
         self, options: list[Waiting], runner: runnerstate.RunnerState
     ) -> Waiting:
@@ -436,6 +481,8 @@
         for index, waiting in enumerate(options):
             if runner.name in waiting.entry.avoid:
                 continue
+            if waiting.is_short != head.is_short:
+                continue
             if not runner.has_room(waiting.tokens):
                 continue
             cached = runner.count_cached(waiting.entry.prefix)
@@ -501,7 +548,13 @@
         usable = fresh or usable
         if not self.policy.has_limits:
             return usable
-        return [runner for runner in usable if runner.has_room(waiting.tokens)]
+        found = [
+            runner for runner in usable if runner.has_room(waiting.tokens)
+        ]
+        # Under load there mostly is none, and nothing more to look at.
+        if found and not self._has_slot(waiting, usable):
+            return []
+        return found
 
     def _place(
         self,
@@ -525,6 +578,7 @@
                 prompt_tokens=entry.prompt_tokens,
                 uncached_tokens=max(entry.prompt_tokens - cached, 0),
                 expected_wait_s=runner.estimate_wait(now),
+                is_short=waiting.is_short,
             ),
             now,
         )
@@ -557,11 +611,18 @@
             return
         lowest = sorted(tier.iterate(), key=lambda item: item.arrived_at)
         ahead = self._waiting_tokens - sum(item.tokens for item in lowest)
+        # Short ones have slots of their own: only short ones are ahead.
+        short_ahead = self._waiting_short_tokens - sum(
+            item.tokens for item in lowest if item.is_short
+        )
         for waiting in lowest:
-            if now + ahead / self._drain_rate > waiting.deadline_at:
+            tokens = short_ahead if waiting.is_short else ahead
+            if now + tokens / self._drain_rate > waiting.deadline_at:
                 yield self._shed(waiting)
                 continue
             ahead += waiting.tokens
+            if waiting.is_short:
+                short_ahead += waiting.tokens
 
     def _is_overfull(self) -> bool:
         if len(self._waiting) > self.pool.queue_requests:
@@ -608,6 +669,8 @@
         tier.add(waiting)
         self._waiting[waiting.entry.ticket] = waiting
         self._waiting_tokens += waiting.tokens
+        if waiting.is_short:
+            self._waiting_short_tokens += waiting.tokens
 
     def _drop_waiting(self, waiting: Waiting) -> None:
         self._tiers[waiting.rank].discard(waiting)
@@ -616,6 +679,8 @@
     def _forget_waiting(self, waiting: Waiting) -> None:
         del self._waiting[waiting.entry.ticket]
         self._waiting_tokens -= waiting.tokens
+        if waiting.is_short:
+            self._waiting_short_tokens -= waiting.tokens
 
     def _measure_rate(self, now: float) -> None:
         if not self._waiting:
--- a/packages/apricotlandingd/src/apricotlandingd/runnerstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/runnerstate.py
@@ -46,6 +46,8 @@
     uncached_tokens: int
     # Seconds of other prefill expected before its own.
     expected_wait_s: float
+    # Whether it may take the slots kept for short requests.
+    is_short: bool
 
 
 @ty.final
@@ -58,6 +60,8 @@
         self.model = model
         # What this scheduler has granted, by ticket.
         self.occupied: dict[str, Occupancy] = {}
+        # How many of these are short.
+        self.short_count = 0
         self.is_leaving = False
         # No grants before this time: it refused or failed.
         self.paused_until = float('-inf')
@@ -106,12 +110,14 @@
         )
         self.occupied[place.ticket] = place
         self._tokens += place.tokens
+        self.short_count += place.is_short
 
     def release(self, ticket: str) -> Occupancy | None:
         """Count a request as gone; None if it was not here."""
         place = self.occupied.pop(ticket, None)
         if place is not None:
             self._tokens -= place.tokens
+            self.short_count -= place.is_short
         return place
 
     def count_cached(self, prefix: list[int]) -> int:
--- a/tests/test_pool_queue.py
+++ b/tests/test_pool_queue.py
@@ -190,6 +190,64 @@
         return order
 
 
+class TestShortSlots(testtools.TestCase):
+    """Long requests leave some slots to short ones of any tier."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        pool = make_pool().model_copy(
+            update={'queue_requests': 100, 'short_part': 0.25}
+        )
+        self.queue = poolqueue.PoolQueue(pool)
+        (self.runner,) = self.queue.runners.values()
+        # Four slots, one of them for short requests.
+        self.runner.model = self.runner.model.model_copy(update={'slots': 4})
+
+    def test_long_ones_leave_a_slot(self) -> None:
+        self.add_all('long', 5, tier=0, prompt_tokens=1000)
+        self.assertEqual({'long-0', 'long-1', 'long-2'}, decide(self.queue))
+
+    def test_short_one_of_a_lower_tier_takes_it(self) -> None:
+        self.add_all('long', 5, tier=0, prompt_tokens=1000)
+        self.add_all('short', 2, tier=4, prompt_tokens=10)
+        granted = decide(self.queue)
+        self.assertEqual({'long-0', 'long-1', 'long-2', 'short-0'}, granted)
+
+    def test_short_ones_take_no_slot_of_a_long_one_that_waits(self) -> None:
+        # Else they would fill the runner one by one as long ones end.
+        self.add_all('long', 5, tier=0, prompt_tokens=1000)
+        self.add_all('short', 2, tier=4, prompt_tokens=10)
+        decide(self.queue)
+        self.finish('long-0')
+        self.assertEqual({'long-3'}, decide(self.queue))
+        self.finish('short-0')
+        self.assertEqual({'short-1'}, decide(self.queue))
+
+    def test_short_ones_take_all_that_is_free(self) -> None:
+        self.add_all('short', 4, tier=4, prompt_tokens=10)
+        self.assertEqual(4, len(decide(self.queue)))
+
+    def test_long_one_of_a_lower_tier_overtakes_nothing(self) -> None:
+        self.add_all('long', 4, tier=0, prompt_tokens=1000)
+        self.add_all('low', 1, tier=4, prompt_tokens=1000)
+        self.assertNotIn('low-0', decide(self.queue))
+
+    def add_all(
+        self, name: str, count: int, tier: int, prompt_tokens: int
+    ) -> None:
+        for number in range(count):
+            entry = dataclasses.replace(
+                make_entry(f'{name}-{number}', tier),
+                prompt_tokens=prompt_tokens,
+            )
+            self.queue.register(entry, NEAR, 0.0)
+
+    def finish(self, ticket: str) -> None:
+        pool = ids.Pool('planners')
+        done = wire.Finished(pool, ticket, True, None, 1.0, 10)
+        self.queue.finish(done, 1.0)
+
+
 def make_entry(
     ticket: str, tier: int, is_ready: bool = True
 ) -> wire.Registration:
