--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/drainrate.py
@@ -0,0 +1,55 @@
+"""How fast a pool works off what waits.
+
+The scheduler (``poolqueue``) tells by it which requests cannot begin before
+their deadlines, and when those that it gives up should come back.
+"""
+
+import typing as ty
+
+__all__ = ['DrainRate']
+
+# Weight of the newest interval in the average.
+_NEWEST = 0.3
+# Ends and seconds that make an interval.
+_INTERVAL_ENDS = 8
+_INTERVAL_S = 1.0
+
+
+@ty.final
+class DrainRate:
+    """Tokens that end in a second while the pool is saturated."""
+
+    def __init__(self) -> None:
+        """Start unmeasured."""
+        # Prompt and output tokens a second; 0 while nothing was measured.
+        self.tokens_s = 0.0
+        self._ended_tokens = 0
+        self._ended_count = 0
+        self._since: float | None = None
+
+    def note_end(self, tokens: int) -> None:
+        """Count a request that has left its runner."""
+        self._ended_tokens += tokens
+        self._ended_count += 1
+
+    def update(self, is_saturated: bool, now: float) -> None:
+        """Take the interval into the average, if it is long enough."""
+        if not is_saturated:
+            # What ends now says nothing of what could.
+            self._since = None
+            return
+        if self._since is None:
+            self._begin(now)
+            return
+        seconds = now - self._since
+        if seconds < _INTERVAL_S or self._ended_count < _INTERVAL_ENDS:
+            return
+        rate = self._ended_tokens / seconds
+        weight = _NEWEST if self.tokens_s > 0.0 else 1.0
+        self.tokens_s += weight * (rate - self.tokens_s)
+        self._begin(now)
+
+    def _begin(self, now: float) -> None:
+        self._since = now
+        self._ended_tokens = 0
+        self._ended_count = 0
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
@@ -1,11 +1,11 @@
 """The queue of one pool: who is next, where, and who is given up.
 
-Tiers are strict: nothing of a lower tier is granted while something of a
-higher tier could be, and nothing of a higher tier is shed while something of
-a lower tier waits. Within a tier organisations share by weight: each has a
-virtual time that grows by the granted tokens over its weight, and the one
-that is furthest behind is next (weighted fair queueing). Within an
-organisation the order is that of arrival.
+Tiers are strict: nothing of a higher tier is shed while something of a lower
+tier waits, and nothing of a lower tier is granted what something of a higher
+tier could have. Long requests leave some slots to short ones, so a short one
+of a lower tier may begin while a long one waits. Within a tier ``tierqueue``
+keeps a fair order; of the next few of an organisation, one whose prefix the
+runner caches goes first.
 
 Engines have no priorities, so the wait is here and not there: a runner is
 granted only what its batch can hold.
@@ -23,18 +23,18 @@
 import collections
 import collections.abc
 import dataclasses
-import heapq
-import itertools
 import random
 import typing as ty
 
 from apricotlanding import bundle
 from apricotlanding import ids
 from apricotlanding import wire
+from apricotlandingd import drainrate
 from apricotlandingd import policies
 from apricotlandingd import runnerstate
+from apricotlandingd import tierqueue
 
-__all__ = ['GrantDecision', 'PoolQueue', 'ShedDecision', 'Waiting']
+__all__ = ['GrantDecision', 'PoolQueue', 'ShedDecision']
 
 # Seconds in which a grant has to be used.
 GRANT_EXPIRY = 1.0
@@ -48,34 +48,6 @@
 # Bounds of the advice when to come back, in seconds.
 RETRY_FIRST = 1.0
 RETRY_LAST = 30.0
-# Weight of the newest interval in the drain rate.
-_NEWEST = 0.3
-# Ends and seconds that make an interval.
-_RATE_ENDS = 8
-_RATE_SECONDS = 1.0
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Waiting:
-    """A request that waits."""
-
-    entry: wire.Registration
-    sender: ids.Incarnation
-    # Monotonic times.
-    arrived_at: float
-    deadline_at: float
-    # Queue that it was put in; 0 for all under a policy without tiers.
-    rank: int
-    # At most the pool's ``short_tokens``, and a policy that minds it.
-    is_short: bool
-    is_gone: bool = False
-    # How often a later one of its organisation was taken before it.
-    passed: int = 0
-
-    @property
-    def tokens(self) -> int:
-        """Return prompt and output tokens together."""
-        return self.entry.prompt_tokens + self.entry.output_tokens
 
 
 @ty.final
@@ -83,7 +55,7 @@
 class GrantDecision:
     """A runner has room for a request."""
 
-    waiting: Waiting
+    waiting: tierqueue.Waiting
     runner: ids.Runner
 
 
@@ -92,7 +64,7 @@
 class ShedDecision:
     """A request is given up."""
 
-    waiting: Waiting
+    waiting: tierqueue.Waiting
     retry_after_s: float
     # Not for want of room: it could not end before its deadline even if it
     # began now.
@@ -101,130 +73,12 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Granted:
-    waiting: Waiting
+    waiting: tierqueue.Waiting
     runner: ids.Runner
     expires_at: float
     is_started: bool = False
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Lane:
-    # One organisation's queue in one tier.
-    items: collections.deque[Waiting]
-    virtual_time: float
-    weight: float
-    tokens: int = 0
-
-
-@ty.final
-class _TierQueue:
-    """The waiting requests of one tier."""
-
-    def __init__(self) -> None:
-        self.lanes: dict[ids.Organisation, _Lane] = {}
-        # Requests that are not ready to be granted, by ticket.
-        self.held: dict[str, Waiting] = {}
-        # Held ones and those in lanes.
-        self.count = 0
-        # Shed requests, by ticket, that their daemons may still keep.
-        self.unconfirmed: dict[str, Waiting] = {}
-        self._heap: list[tuple[float, int, ids.Organisation]] = []
-        self._ties = itertools.count()
-        self._floor = 0.0
-
-    def add(self, waiting: Waiting) -> None:
-        self.count += 1
-        if not waiting.entry.is_ready:
-            self.held[waiting.entry.ticket] = waiting
-            return
-        name = waiting.entry.organisation
-        lane = self.lanes.get(name)
-        if lane is None:
-            lane = _Lane(
-                collections.deque(), self._floor, waiting.entry.weight
-            )
-            self.lanes[name] = lane
-        if not lane.items:
-            # It had nothing to wait for: it does not save up turns.
-            lane.virtual_time = max(lane.virtual_time, self._floor)
-            self._push(name, lane)
-        lane.items.append(waiting)
-        lane.tokens += waiting.tokens
-
-    def peek(self) -> Waiting | None:
-        while self._heap:
-            at, _, name = self._heap[0]
-            lane = self.lanes[name]
-            self._skip_gone(lane)
-            if lane.items and at == lane.virtual_time:
-                return lane.items[0]
-            heapq.heappop(self._heap)
-        return None
-
-    def list_next(self, limit: int) -> list[Waiting]:
-        # Returns the first of the organisation whose turn it is, in order
-        # of arrival; empty if nothing is ready.
-        head = self.peek()
-        found: list[Waiting] = []
-        if head is None:
-            return found
-        for waiting in self.lanes[head.entry.organisation].items:
-            if len(found) == limit:
-                break
-            if not waiting.is_gone:
-                found.append(waiting)
-        return found
-
-    def take(self, waiting: Waiting) -> None:
-        # Takes one that ``list_next`` has returned.
-        heapq.heappop(self._heap)
-        lane = self.lanes[waiting.entry.organisation]
-        self._floor = max(self._floor, lane.virtual_time)
-        lane.virtual_time += waiting.tokens / lane.weight
-        self.discard(waiting)
-        self._skip_gone(lane)
-        if lane.items:
-            self._push(waiting.entry.organisation, lane)
-
-    def discard(self, waiting: Waiting) -> None:
-        # Marks a request as gone; its place is cleared when it comes up.
-        waiting.is_gone = True
-        self.count -= 1
-        if self.held.pop(waiting.entry.ticket, None) is not None:
-            return
-        lane = self.lanes[waiting.entry.organisation]
-        lane.tokens -= waiting.tokens
-
-    def find_excess(self) -> Waiting | None:
-        # Returns the newest request of the organisation that waits with
-        # the most tokens for its weight; before it, one that could not
-        # begin now even if there were room.
-        if self.held:
-            return next(reversed(self.held.values()))
-        lanes = [lane for lane in self.lanes.values() if lane.tokens > 0]
-        if not lanes:
-            return None
-        lane = max(lanes, key=lambda item: item.tokens / item.weight)
-        while lane.items and lane.items[-1].is_gone:
-            lane.items.pop()
-        return lane.items[-1]
-
-    def iterate(self) -> ty.Iterator[Waiting]:
-        yield from self.held.values()
-        for lane in self.lanes.values():
-            for waiting in lane.items:
-                if not waiting.is_gone:
-                    yield waiting
-
-    def _push(self, name: ids.Organisation, lane: _Lane) -> None:
-        item = (lane.virtual_time, next(self._ties), name)
-        heapq.heappush(self._heap, item)
-
-    def _skip_gone(self, lane: _Lane) -> None:
-        while lane.items and lane.items[0].is_gone:
-            lane.items.popleft()
-
-
 @ty.final
 class PoolQueue:
     """Decisions of one pool's scheduler."""
@@ -234,8 +88,8 @@
         self.pool = pool
         self.policy = policies.find_policy(pool.policy)
         self.runners: dict[ids.Runner, runnerstate.RunnerState] = {}
-        self._tiers: dict[int, _TierQueue] = {}
-        self._waiting: dict[str, Waiting] = {}
+        self._tiers: dict[int, tierqueue.TierQueue] = {}
+        self._waiting: dict[str, tierqueue.Waiting] = {}
         self._granted: dict[str, _Granted] = {}
         self._draw = random.Random(seed)  # noqa: S311
         self._turn = 0
@@ -243,11 +97,7 @@
         self._waiting_short_tokens = 0
         # Set while the queue is gone through, once a long one has no room.
         self._is_long_waiting = False
-        # Tokens that end in a second while the pool is saturated.
-        self._drain_rate = 0.0
-        self._ended_tokens = 0
-        self._ended_count = 0
-        self._rate_since: float | None = None
+        self._drained = drainrate.DrainRate()
         self.update_pool(pool)
 
     def update_pool(self, pool: bundle.PoolModel) -> None:
@@ -286,7 +136,7 @@
             self._drop_waiting(held)
         # A daemon that registers what was shed has not heard of it.
         self._confirm(entry.ticket)
-        waiting = Waiting(
+        waiting = tierqueue.Waiting(
             entry=entry,
             sender=sender,
             arrived_at=now - entry.waited_s,
@@ -320,8 +170,7 @@
         granted = self._granted.pop(message.ticket, None)
         if granted is None:
             return
-        self._ended_tokens += granted.waiting.tokens
-        self._ended_count += 1
+        self._drained.note_end(granted.waiting.tokens)
         runner = self.runners.get(granted.runner)
         if runner is None:
             return
@@ -364,7 +213,7 @@
         self, now: float, may_shed: bool
     ) -> list[GrantDecision | ShedDecision]:
         """Grant what can be granted; then shed what has to be."""
-        self._measure_rate(now)
+        self._drained.update(bool(self._waiting), now)
         found: list[GrantDecision | ShedDecision] = []
         found.extend(self._grant_all(now))
         if may_shed:
@@ -401,9 +250,9 @@
 
     def estimate_retry(self) -> float:
         """Return in how many seconds what waits now will have drained."""
-        if self._drain_rate <= 0.0:
+        if self._drained.tokens_s <= 0.0:
             return RETRY_FIRST
-        seconds = self._waiting_tokens / self._drain_rate
+        seconds = self._waiting_tokens / self._drained.tokens_s
         return min(max(seconds, RETRY_FIRST), RETRY_LAST)
 
     # Granting.
@@ -445,7 +294,7 @@
 
     def _has_slot(
         self,
-        waiting: Waiting,
+        waiting: tierqueue.Waiting,
         usable: collections.abc.Iterable[runnerstate.RunnerState],
     ) -> bool:
         # Long requests would hold every slot for seconds while hundreds of
@@ -467,8 +316,8 @@
         return total - short < slots - reserved
 
     def _choose_waiting(
-        self, options: list[Waiting], runner: runnerstate.RunnerState
-    ) -> Waiting:
+        self, options: list[tierqueue.Waiting], runner: runnerstate.RunnerState
+    ) -> tierqueue.Waiting:
         # Under load a single runner has room, and what it caches decides
         # how long a prefill it gets: of the first few that wait, the one
         # with the longest cached prefix. One that was passed over often is
@@ -495,7 +344,7 @@
 
     def _is_late(
         self,
-        waiting: Waiting,
+        waiting: tierqueue.Waiting,
         runner: runnerstate.RunnerState,
         now: float,
     ) -> bool:
@@ -514,7 +363,7 @@
         return now + LATE_CREDIT * expected_s > waiting.deadline_at
 
     def _choose_runner(
-        self, waiting: Waiting, now: float
+        self, waiting: tierqueue.Waiting, now: float
     ) -> runnerstate.RunnerState | None:
         candidates = self._list_candidates(waiting, now)
         if not candidates:
@@ -534,7 +383,7 @@
         )
 
     def _list_candidates(
-        self, waiting: Waiting, now: float
+        self, waiting: tierqueue.Waiting, now: float
     ) -> list[runnerstate.RunnerState]:
         usable = [
             runner for runner in self.runners.values() if runner.is_usable(now)
@@ -558,7 +407,7 @@
 
     def _place(
         self,
-        waiting: Waiting,
+        waiting: tierqueue.Waiting,
         name: ids.Runner,
         now: float,
         is_started: bool,
@@ -607,7 +456,7 @@
         # the lowest tier that waits: a request of a higher tier may be as
         # hopeless, but it must not be given up before a lower one is.
         tier = self._find_sheddable()
-        if tier is None or self._drain_rate <= 0.0:
+        if tier is None or self._drained.tokens_s <= 0.0:
             return
         lowest = sorted(tier.iterate(), key=lambda item: item.arrived_at)
         ahead = self._waiting_tokens - sum(item.tokens for item in lowest)
@@ -617,7 +466,7 @@
         )
         for waiting in lowest:
             tokens = short_ahead if waiting.is_short else ahead
-            if now + tokens / self._drain_rate > waiting.deadline_at:
+            if now + tokens / self._drained.tokens_s > waiting.deadline_at:
                 yield self._shed(waiting)
                 continue
             ahead += waiting.tokens
@@ -631,7 +480,7 @@
             return False
         return self._waiting_tokens > self.pool.queue_tokens
 
-    def _find_sheddable(self) -> _TierQueue | None:
+    def _find_sheddable(self) -> tierqueue.TierQueue | None:
         # The lowest tier that waits, unless one below it has requests that
         # were shed and not confirmed. A link that is cut loses decisions
         # before anybody notices: the requests would be registered again and
@@ -646,14 +495,14 @@
                 return None
         return None
 
-    def _shed(self, waiting: Waiting) -> ShedDecision:
+    def _shed(self, waiting: tierqueue.Waiting) -> ShedDecision:
         retry_after_s = self.estimate_retry()
         self._drop_waiting(waiting)
         tier = self._tiers[waiting.rank]
         tier.unconfirmed[waiting.entry.ticket] = waiting
         return ShedDecision(waiting, retry_after_s)
 
-    def _confirm(self, ticket: str) -> Waiting | None:
+    def _confirm(self, ticket: str) -> tierqueue.Waiting | None:
         for tier in self._tiers.values():
             waiting = tier.unconfirmed.pop(ticket, None)
             if waiting is not None:
@@ -662,42 +511,22 @@
 
     # Book-keeping.
 
-    def _add_waiting(self, waiting: Waiting) -> None:
+    def _add_waiting(self, waiting: tierqueue.Waiting) -> None:
         tier = self._tiers.get(waiting.rank)
         if tier is None:
-            tier = self._tiers[waiting.rank] = _TierQueue()
+            tier = self._tiers[waiting.rank] = tierqueue.TierQueue()
         tier.add(waiting)
         self._waiting[waiting.entry.ticket] = waiting
         self._waiting_tokens += waiting.tokens
         if waiting.is_short:
             self._waiting_short_tokens += waiting.tokens
 
-    def _drop_waiting(self, waiting: Waiting) -> None:
+    def _drop_waiting(self, waiting: tierqueue.Waiting) -> None:
         self._tiers[waiting.rank].discard(waiting)
         self._forget_waiting(waiting)
 
-    def _forget_waiting(self, waiting: Waiting) -> None:
+    def _forget_waiting(self, waiting: tierqueue.Waiting) -> None:
         del self._waiting[waiting.entry.ticket]
         self._waiting_tokens -= waiting.tokens
         if waiting.is_short:
             self._waiting_short_tokens -= waiting.tokens
-
-    def _measure_rate(self, now: float) -> None:
-        if not self._waiting:
-            # Not saturated: what ends now says nothing of what could.
-            self._rate_since = None
-            return
-        if self._rate_since is None:
-            self._rate_since = now
-            self._ended_tokens = 0
-            self._ended_count = 0
-            return
-        seconds = now - self._rate_since
-        if seconds < _RATE_SECONDS or self._ended_count < _RATE_ENDS:
-            return
-        rate = self._ended_tokens / seconds
-        weight = _NEWEST if self._drain_rate > 0.0 else 1.0
-        self._drain_rate += weight * (rate - self._drain_rate)
-        self._rate_since = now
-        self._ended_tokens = 0
-        self._ended_count = 0
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/tierqueue.py
@@ -0,0 +1,170 @@
+"""The waiting requests of one tier, in fair order.
+
+Within a tier organisations share by weight: each has a virtual time that
+grows by the granted tokens over its weight, and the one that is furthest
+behind is next (weighted fair queueing). Within an organisation the order is
+that of arrival. ``poolqueue`` keeps one such queue for each tier and decides
+on what it returns.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import typing as ty
+
+from apricotlanding import ids
+from apricotlanding import wire
+
+__all__ = ['TierQueue', 'Waiting']
+
+
+@ty.final
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """A request that waits."""
+
+    entry: wire.Registration
+    sender: ids.Incarnation
+    # Monotonic times.
+    arrived_at: float
+    deadline_at: float
+    # Queue that it was put in; 0 for all under a policy without tiers.
+    rank: int
+    # Whether it may take the slots kept for short requests.
+    is_short: bool
+    is_gone: bool = False
+    # How often a later one of its organisation was taken before it.
+    passed: int = 0
+
+    @property
+    def tokens(self) -> int:
+        """Return prompt and output tokens together."""
+        return self.entry.prompt_tokens + self.entry.output_tokens
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Lane:
+    # One organisation's queue in one tier.
+    items: collections.deque[Waiting]
+    virtual_time: float
+    weight: float
+    tokens: int = 0
+
+
+@ty.final
+class TierQueue:
+    """The waiting requests of one tier."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.lanes: dict[ids.Organisation, _Lane] = {}
+        # Requests that are not ready to be granted, by ticket.
+        self.held: dict[str, Waiting] = {}
+        # Held ones and those in lanes.
+        self.count = 0
+        # Shed requests, by ticket, that their daemons may still keep.
+        self.unconfirmed: dict[str, Waiting] = {}
+        self._heap: list[tuple[float, int, ids.Organisation]] = []
+        self._ties = itertools.count()
+        self._floor = 0.0
+
+    def add(self, waiting: Waiting) -> None:
+        """Add a request, to be held if it is not ready."""
+        self.count += 1
+        if not waiting.entry.is_ready:
+            self.held[waiting.entry.ticket] = waiting
+            return
+        name = waiting.entry.organisation
+        lane = self.lanes.get(name)
+        if lane is None:
+            lane = _Lane(
+                collections.deque(), self._floor, waiting.entry.weight
+            )
+            self.lanes[name] = lane
+        if not lane.items:
+            # It had nothing to wait for: it does not save up turns.
+            lane.virtual_time = max(lane.virtual_time, self._floor)
+            self._push(name, lane)
+        lane.items.append(waiting)
+        lane.tokens += waiting.tokens
+
+    def peek(self) -> Waiting | None:
+        """Return who is next; None if nothing is ready."""
+        while self._heap:
+            at, _, name = self._heap[0]
+            lane = self.lanes[name]
+            self._skip_gone(lane)
+            if lane.items and at == lane.virtual_time:
+                return lane.items[0]
+            heapq.heappop(self._heap)
+        return None
+
+    def list_next(self, limit: int) -> list[Waiting]:
+        """Return the first few of the organisation whose turn it is.
+
+        In order of arrival; empty if nothing is ready.
+        """
+        head = self.peek()
+        found: list[Waiting] = []
+        if head is None:
+            return found
+        for waiting in self.lanes[head.entry.organisation].items:
+            if len(found) == limit:
+                break
+            if not waiting.is_gone:
+                found.append(waiting)
+        return found
+
+    def take(self, waiting: Waiting) -> None:
+        """Remove one that ``list_next`` has returned, as granted."""
+        heapq.heappop(self._heap)
+        lane = self.lanes[waiting.entry.organisation]
+        self._floor = max(self._floor, lane.virtual_time)
+        lane.virtual_time += waiting.tokens / lane.weight
+        self.discard(waiting)
+        self._skip_gone(lane)
+        if lane.items:
+            self._push(waiting.entry.organisation, lane)
+
+    def discard(self, waiting: Waiting) -> None:
+        """Mark a request as gone; its place is cleared later."""
+        waiting.is_gone = True
+        self.count -= 1
+        if self.held.pop(waiting.entry.ticket, None) is not None:
+            return
+        lane = self.lanes[waiting.entry.organisation]
+        lane.tokens -= waiting.tokens
+
+    def find_excess(self) -> Waiting | None:
+        """Return which request gives way first.
+
+        The newest of the organisation that waits with the most tokens for
+        its weight; before it, one that could not begin now even if there
+        were room.
+        """
+        if self.held:
+            return next(reversed(self.held.values()))
+        lanes = [lane for lane in self.lanes.values() if lane.tokens > 0]
+        if not lanes:
+            return None
+        lane = max(lanes, key=lambda item: item.tokens / item.weight)
+        while lane.items and lane.items[-1].is_gone:
+            lane.items.pop()
+        return lane.items[-1]
+
+    def iterate(self) -> ty.Iterator[Waiting]:
+        """Yield all that wait, in no order."""
+        yield from self.held.values()
+        for lane in self.lanes.values():
+            for waiting in lane.items:
+                if not waiting.is_gone:
+                    yield waiting
+
+    def _push(self, name: ids.Organisation, lane: _Lane) -> None:
+        item = (lane.virtual_time, next(self._ties), name)
+        heapq.heappush(self._heap, item)
+
+    def _skip_gone(self, lane: _Lane) -> None:
+        while lane.items and lane.items[0].is_gone:
+            lane.items.popleft()
