--- a/tests/faultmatrix.py
+++ b/tests/faultmatrix.py
@@ -534,6 +534,13 @@
     cell.system.set_faults('log', is_out=True)
 
 
+@fault('log-out-kill-owner', heal_log)
+def stop_log_and_kill_owner(cell: Cell) -> None:
+    # Nobody can take over until the log is back.
+    cell.system.set_faults('log', is_out=True)
+    cell.process(cell.owner).kill()
+
+
 @fault('log-slow', heal_log)
 def slow_log(cell: Cell) -> None:
     cell.system.set_faults('log', delay_s=0.4)
@@ -625,6 +632,7 @@
     ('kill-entry-and-owner', 'drain'): UNKNOWN,
     ('kill-entry-and-owner', 'roll-out'): UNKNOWN,
     ('kill-owner', 'before-claim'): EITHER,
+    ('log-out-kill-owner', 'before-claim'): EITHER,
     ('freeze-owner', 'before-claim'): EITHER,
     ('cut-owner', 'before-claim'): EITHER,
     ('cut-entry', 'before-claim'): EITHER,
