Find a daemon's process in one place

Ruled out: making DaemonPlace.process non-optional; a place is added before its daemon starts.

Change: Deployment.find_process; the copies call it. No assertion on the product changed.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -271,10 +271,7 @@
     system = deployment.Deployment(directory)
     try:
         system.start_all()
-        pids = []
-        for place in system.daemons.values():
-            assert place.process is not None
-            pids.append(place.process.pid)
+        pids = [system.find_process(host).pid for host in system.daemons]
         before = [read_cpu(pid) for pid in pids]
         time.sleep(10.0)
         spent = [
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -50,8 +50,7 @@
         for number in range(count):
             time.sleep(max(0.0, started + number / rate - time.monotonic()))
             if not is_killed and time.monotonic() >= killed_at:
-                process = system.daemons[victim].process
-                assert process is not None
+                process = system.find_process(victim)
                 process.kill()
                 is_killed = True
             key = callers.make_key()
--- a/demo/demo.py
+++ b/demo/demo.py
@@ -168,9 +168,8 @@
     print(flush=True)
     run_ctl(system, 'status')
     codes = []
-    for host, place in system.daemons.items():
-        assert place.process is not None
-        codes.append(place.process.terminate())
+    for host in system.daemons:
+        codes.append(system.find_process(host).terminate())
         print(f'{host}: stopped with exit code {codes[-1]}')
     return all(results) and not any(codes)
 
--- a/packages/apricotstandins/src/apricotstandins/deployment.py
+++ b/packages/apricotstandins/src/apricotstandins/deployment.py
@@ -352,6 +352,13 @@
         fault = {'cut_forward': is_cut, 'cut_back': is_cut}
         self.set_links(**{f'{host}>log': fault})
 
+    def find_process(self, host: str) -> processes.Process:
+        """Return a daemon's latest process; KeyError if it never had one."""
+        process = self.daemons[host].process
+        if process is None:
+            raise KeyError(f'{host} was never started')
+        return process
+
     def find_owner(self, shard: str, host: str | None = None) -> str:
         """Return who serves a shard, as a daemon sees it; '' if nobody."""
         asked = host or next(iter(self.daemons))
--- a/tests/faultmatrix.py
+++ b/tests/faultmatrix.py
@@ -235,7 +235,7 @@
         if self.caller.is_alive():
             raise AssertionError('the caller has no last word')
         if name == 'drain':
-            self.process(self.entry).wait()
+            self.system.find_process(self.entry).wait()
         self.restart_dead()
         self.system.wait_ready()
 
@@ -245,8 +245,7 @@
 
     def restart_dead(self) -> None:
         for host, place in self.system.daemons.items():
-            assert place.process is not None
-            if not place.process.is_running():
+            if not self.system.find_process(host).is_running():
                 self.system.start_daemon(host)
                 self.system.wait_for_http(place.callers, '/healthz')
 
@@ -287,11 +286,6 @@
         )
         time.sleep(0.2)
 
-    def process(self, host: str) -> processes.Process:
-        found = self.system.daemons[host].process
-        assert found is not None
-        return found
-
     def _choose_key(self) -> tuple[str, str]:
         # A key whose claim owner is not the entry daemon.
         shards = self.system.ownership['claim_shards']
@@ -394,7 +388,7 @@
 
 @step('takeover')
 def strike_in_takeover(cell: Cell) -> None:
-    cell.process(cell.owner).kill()
+    cell.system.find_process(cell.owner).kill()
     cell.caller.start()
     time.sleep(0.5)
     cell.strike()
@@ -405,7 +399,7 @@
     cell.slow_runners()
     cell.caller.start()
     cell.wait_started()
-    cell.process(cell.entry).send(signal.SIGTERM)
+    cell.system.find_process(cell.entry).send(signal.SIGTERM)
     time.sleep(0.2)
     cell.strike()
 
@@ -473,29 +467,29 @@
 
 @fault('kill-entry')
 def kill_entry(cell: Cell) -> None:
-    cell.process(cell.entry).kill()
+    cell.system.find_process(cell.entry).kill()
 
 
 @fault('kill-owner')
 def kill_owner(cell: Cell) -> None:
-    cell.process(cell.owner).kill()
+    cell.system.find_process(cell.owner).kill()
 
 
 @fault('kill-entry-and-owner')
 def kill_entry_and_owner(cell: Cell) -> None:
     # Whoever knew of the grant is gone.
-    cell.process(cell.entry).kill()
-    cell.process(cell.owner).kill()
+    cell.system.find_process(cell.entry).kill()
+    cell.system.find_process(cell.owner).kill()
 
 
 @fault('freeze-entry', resume_all)
 def freeze_entry(cell: Cell) -> None:
-    cell.process(cell.entry).pause()
+    cell.system.find_process(cell.entry).pause()
 
 
 @fault('freeze-owner', resume_all)
 def freeze_owner(cell: Cell) -> None:
-    cell.process(cell.owner).pause()
+    cell.system.find_process(cell.owner).pause()
 
 
 @fault('cut-entry', heal_links)
@@ -538,7 +532,7 @@
 def stop_log_and_kill_owner(cell: Cell) -> None:
     # Nobody can take over until the log is back.
     cell.system.set_faults('log', is_out=True)
-    cell.process(cell.owner).kill()
+    cell.system.find_process(cell.owner).kill()
 
 
 @fault('log-slow', heal_log)
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -84,8 +84,7 @@
         self.submit(2, 1)
         self.wait_version(2)
         place = self.system.daemons['entry-2']
-        assert place.process is not None
-        place.process.kill()
+        self.system.find_process('entry-2').kill()
         self.system.set_faults('log', is_out=True)
         self.system.start_daemon('entry-2')
         self.system.wait_for_http(place.callers, '/healthz')
@@ -157,8 +156,7 @@
         processes.wait_until(self.has_restated, 'restated')
         self.system.set_faults('log', retention=8)
         place = self.system.daemons['entry-3']
-        assert place.process is not None
-        place.process.kill()
+        self.system.find_process('entry-3').kill()
         self.system.start_daemon('entry-3')
         self.system.wait_for_http(place.callers, '/healthz')
         self.system.wait_ready()
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -25,8 +25,7 @@
         self.declare(2, 'v7')
         self.wait_last('planner-1', 'v7')
         owner = self.system.find_owner('pool/planners')
-        process = self.system.daemons[owner].process
-        assert process is not None
+        process = self.system.find_process(owner)
         process.kill()
         processes.wait_until(
             lambda: self.read_orders('planner-1')[-1]['epoch'] > 1,
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -37,8 +37,7 @@
         # on the other hosts wait; the next scheduler learns of them from
         # their daemons and must not shed before it has heard of all.
         victim = self.system.find_owner('pool/planners')
-        process = self.system.daemons[victim].process
-        assert process is not None
+        process = self.system.find_process(victim)
         timer = threading.Timer(1.0, process.kill)
         timer.start()
         posted = self.post_burst(avoid=victim)
@@ -110,8 +109,7 @@
                 lambda: self.system.count_executions(key) > 0, 'it has run'
             )
             self.system.set_faults('planner-1', is_refusing=True)
-            process = self.system.daemons['entry-1'].process
-            assert process is not None
+            process = self.system.find_process('entry-1')
             process.send(signal.SIGTERM)
             time.sleep(0.5)
             process.send(signal.SIGTERM)
@@ -219,8 +217,7 @@
             keys = [callers.make_key() for _ in range(24)]
             futures = [pool.submit(self.post_slow, key) for key in keys]
             self.wait_open(24)
-            process = self.system.daemons['entry-1'].process
-            assert process is not None
+            process = self.system.find_process('entry-1')
             process.send(signal.SIGTERM)
             processes.wait_until(
                 lambda: self.read_ready('entry-1') == 503, 'not ready'
@@ -238,8 +235,7 @@
             keys = [callers.make_key() for _ in range(24)]
             futures = [pool.submit(self.post_slow, key) for key in keys]
             self.wait_open(24)
-            process = self.system.daemons['entry-1'].process
-            assert process is not None
+            process = self.system.find_process('entry-1')
             process.send(signal.SIGTERM)
             time.sleep(1.0)
             process.send(signal.SIGTERM)
@@ -259,8 +255,7 @@
         # tell it that the old processes have ended.
         victims = ['entry-1', 'entry-2']
         for host in victims:
-            process = self.system.daemons[host].process
-            assert process is not None
+            process = self.system.find_process(host)
             process.kill()
         for host in victims:
             self.system.start_daemon(host)
@@ -282,8 +277,7 @@
             'entry-1', 'POST', '/v1/drain?host=entry-2'
         )
         self.assertEqual(200, reply.status)
-        process = self.system.daemons['entry-2'].process
-        assert process is not None
+        process = self.system.find_process('entry-2')
         self.assertEqual(0, process.wait())
 
     def post_slow(self, key: str) -> callers.Reply:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,8 +54,7 @@
     def test_log_lines_are_json_and_name_the_request(self) -> None:
         key = callers.make_key()
         self.post('entry-1', 'manifest', {'van': 1}, key)
-        process = self.system.daemons['entry-1'].process
-        assert process is not None
+        process = self.system.find_process('entry-1')
         processes.wait_until(
             lambda: '"request:end"' in process.read_output(), 'a log line'
         )
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -34,6 +34,6 @@
         self.assertEqual(1, self.system.count_executions(key))
 
     def test_graceful_stop_exits_with_zero(self) -> None:
-        for place in self.system.daemons.values():
-            assert place.process is not None
-            self.assertEqual(0, place.process.terminate())
+        for host in self.system.daemons:
+            process = self.system.find_process(host)
+            self.assertEqual(0, process.terminate())
--- a/tests/tiermatrix.py
+++ b/tests/tiermatrix.py
@@ -104,16 +104,11 @@
         self.struck_at = clocks.read_monotonic()
         self.fault.strike(self)
 
-    def process(self, host: str) -> processes.Process:
-        found = self.system.daemons[host].process
-        assert found is not None
-        return found
-
     def restart_dead(self) -> None:
         if self.drained:
-            self.process(self.drained).wait()
+            self.system.find_process(self.drained).wait()
         for host in self.system.daemons:
-            if not self.process(host).is_running():
+            if not self.system.find_process(host).is_running():
                 self.system.start_daemon(host)
         self.system.wait_ready()
 
@@ -160,7 +155,7 @@
 def strike_in_takeover(cell: Cell) -> None:
     # The one that should take over is struck as well.
     cell.wait_until(SHEDDING - BETWEEN)
-    cell.process(cell.scheduler).kill()
+    cell.system.find_process(cell.scheduler).kill()
     cell.scheduler = cell.successor
     time.sleep(BETWEEN)
     cell.strike()
@@ -170,7 +165,7 @@
 def strike_in_drain(cell: Cell) -> None:
     cell.wait_until(SHEDDING - BETWEEN)
     cell.drained = cell.scheduler
-    cell.process(cell.scheduler).send(signal.SIGTERM)
+    cell.system.find_process(cell.scheduler).send(signal.SIGTERM)
     time.sleep(BETWEEN)
     cell.strike()
 
@@ -190,11 +185,11 @@
 
 
 def _kill(cell: Cell) -> None:
-    cell.process(cell.target).kill()
+    cell.system.find_process(cell.target).kill()
 
 
 def _pause(cell: Cell) -> None:
-    cell.process(cell.target).pause()
+    cell.system.find_process(cell.target).pause()
 
 
 def _cut(cell: Cell) -> None:
@@ -238,8 +233,8 @@
 
 
 def _resume(cell: Cell) -> None:
-    if cell.process(cell.target).is_running():
-        cell.process(cell.target).resume()
+    if cell.system.find_process(cell.target).is_running():
+        cell.system.find_process(cell.target).resume()
 
 
 def _heal_links(cell: Cell) -> None:
@@ -293,7 +288,7 @@
             wrong.append(f'not-run ({item.reply.code}) after {count} runs')
         if item.route in ('rebuild', 'report') and count > 1:
             wrong.append(f'{item.route} ran {count} times')
-        has_lived = cell.process(item.host).is_running()
+        has_lived = cell.system.find_process(item.host).is_running()
         if item.reply.outcome == 'cut' and has_lived:
             wrong.append(f'no last word at {item.host}: {item.reply.error}')
     return wrong
