Share what the tests of both fault matrices do

Cause: test_fault_matrix.py and test_tier_matrix.py each started a system with links that can be cut, ended it, and made one test of each row, line for line the same.

Ruled out: one test module for both; pytest would then report rows of two matrices under one class, and names such as cut_entry stand in both.

Change: matrixrows.py holds the start, the seed and the test of a row. The assertion is the one that stood in both files. run_matrix.py takes its types from there.

--- a/tests/run_matrix.py
+++ b/tests/run_matrix.py
@@ -12,13 +12,13 @@
 import click
 
 import faultmatrix
+import matrixrows
 import test_fault_matrix
 import test_tier_matrix
 import tiermatrix
 
 # What was wrong, by fault and step.
-Results = dict[str, dict[str, list[str]]]
-RunRow = collections.abc.Callable[[str, int], dict[str, list[str]]]
+Results = dict[str, matrixrows.Row]
 # Says what a cell that passed has shown, by fault and step.
 Describe = collections.abc.Callable[[str, str], str]
 
@@ -53,7 +53,7 @@
 
 def run_rows(
     names: collections.abc.Iterable[str],
-    run_row: RunRow,
+    run_row: matrixrows.RunRow,
     seed: int,
     side_by_side: int,
 ) -> Results:
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -3,15 +3,11 @@
 ``make matrix`` runs all of it.
 """
 
-import pathlib
-import tempfile
-
 import testtools
 
-from apricotstandins import deployment
 import faultmatrix
+import matrixrows
 
-SEED = 1
 # Rows that between them kill, freeze and cut each role and stop the log.
 ROWS = (
     'kill-entry',
@@ -27,36 +23,15 @@
 
 def run_row(
     name: str, seed: int, work: faultmatrix.Work = faultmatrix.MODEL_WORK
-) -> dict[str, list[str]]:
+) -> matrixrows.Row:
     """Run a whole row on a system of its own."""
-    with tempfile.TemporaryDirectory() as directory:
-        system = deployment.Deployment(pathlib.Path(directory))
-        system.has_relays = True
-        # Short, for cells in which owner and successor die together.
-        system.ownership['outage_limit_s'] = 8.0
-        try:
-            system.start_all()
-            return faultmatrix.run_row(
-                system, work, name, faultmatrix.steps, seed
-            )
-        finally:
-            system.stop()
+    with matrixrows.start_system() as system:
+        return faultmatrix.run_row(system, work, name, faultmatrix.steps, seed)
 
 
 class TestFaultMatrix(testtools.TestCase):
     """Each row passes all of its cells."""
 
-    def check_row(self, name: str) -> None:
-        results = run_row(name, SEED)
-        self.assertEqual({}, {k: v for k, v in results.items() if v})
-
-
-def _add_row(name: str) -> None:
-    def test(self: TestFaultMatrix) -> None:
-        self.check_row(name)
-
-    setattr(TestFaultMatrix, f'test_{name.replace("-", "_")}', test)
-
 
 for _name in ROWS:
-    _add_row(_name)
+    matrixrows.add_row(TestFaultMatrix, _name, run_row)
