Name two repeated beginnings of tests

Cause: three stories of test_safeguards.py wrote out how a node takes a shard and reads its own record, which take_and_serve did too; the two tests of a stop in test_promises.py opened the same 24 slow requests.

Ruled out: one test for both stops; they assert different things.

Change: take() and post_all_slow(). Every assertion stays as it was.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -211,36 +211,28 @@
     def test_planned_stop_cuts_nothing(self) -> None:
         # Requests run and wait at a daemon when it is asked to stop. All
         # end whole, and the daemon then exits with 0.
-        for name in ('planner-1', 'planner-2'):
-            self.system.set_faults(name, straggle=10.0)
+        process = self.system.find_process('entry-1')
         with concurrent.futures.ThreadPoolExecutor(24) as pool:
-            keys = [callers.make_key() for _ in range(24)]
-            futures = [pool.submit(self.post_slow, key) for key in keys]
-            self.wait_open(24)
-            process = self.system.find_process('entry-1')
+            posted = self.post_all_slow(pool, 10.0)
             process.send(signal.SIGTERM)
             processes.wait_until(
                 lambda: self.read_ready('entry-1') == 503, 'not ready'
             )
-            for key, future in zip(keys, futures, strict=True):
+            for key, future in posted.items():
                 self.assertTrue(future.result().is_whole(key, 12))
             self.assertEqual(0, process.wait())
 
     def test_second_signal_ends_with_the_truth(self) -> None:
         # Some requests run, others still wait. Those that wait hear that
         # they were not run, those that run that the outcome is unknown.
-        for name in ('planner-1', 'planner-2'):
-            self.system.set_faults(name, straggle=200.0)
+        process = self.system.find_process('entry-1')
         with concurrent.futures.ThreadPoolExecutor(24) as pool:
-            keys = [callers.make_key() for _ in range(24)]
-            futures = [pool.submit(self.post_slow, key) for key in keys]
-            self.wait_open(24)
-            process = self.system.find_process('entry-1')
+            posted = self.post_all_slow(pool, 200.0)
             process.send(signal.SIGTERM)
             time.sleep(1.0)
             process.send(signal.SIGTERM)
             outcomes = set()
-            for key, future in zip(keys, futures, strict=True):
+            for key, future in posted.items():
                 reply = future.result()
                 outcomes.add(reply.outcome)
                 if reply.outcome == 'not-run':
@@ -280,6 +272,17 @@
         process = self.system.find_process('entry-2')
         self.assertEqual(0, process.wait())
 
+    def post_all_slow(
+        self, pool: concurrent.futures.Executor, straggle: float
+    ) -> dict[str, concurrent.futures.Future[callers.Reply]]:
+        """Post 24 requests to slow engines; return when all are open."""
+        for name in ('planner-1', 'planner-2'):
+            self.system.set_faults(name, straggle=straggle)
+        keys = [callers.make_key() for _ in range(24)]
+        posted = {key: pool.submit(self.post_slow, key) for key in keys}
+        self.wait_open(24)
+        return posted
+
     def post_slow(self, key: str) -> callers.Reply:
         body = {'prompt': systems.make_prompt(20), 'max_tokens': 12}
         return self.post('entry-1', 'rebuild', body, key)
--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -53,12 +53,19 @@
         world.check()
 
 
-def take_and_serve(world: model.World, node: model.Node) -> None:
-    """Let a node that reads the log take over as soon as it may."""
-    append = world.take(node, None)
+def take(
+    world: model.World, node: model.Node, successor: model.Node | None = None
+) -> None:
+    """Let a node take a shard and read its own record."""
+    append = world.take(node, successor)
     assert append is not None
     world.land(append)
     world.read(node)
+
+
+def take_and_serve(world: model.World, node: model.Node) -> None:
+    """Let a node that reads the log take over as soon as it may."""
+    take(world, node)
     serve_when_allowed(world, node)
 
 
@@ -209,10 +216,7 @@
     """
     owner, successor, outsider = world.nodes
     model.start_serving(world, owner, successor)
-    append = world.take(outsider, None)
-    assert append is not None
-    world.land(append)
-    world.read(outsider)
+    take(world, outsider)
     renew_for(world, owner, successor, 1.02 * model.OUTAGE_LIMIT)
     serve_when_allowed(world, outsider)
     assert outsider.is_serving
@@ -223,10 +227,7 @@
     """An outsider that waited a lease only would meet the old owner."""
     owner, successor, outsider = world.nodes
     model.start_serving(world, owner, successor)
-    append = world.take(outsider, None)
-    assert append is not None
-    world.land(append)
-    world.read(outsider)
+    take(world, outsider)
     renew_for(world, owner, successor, 2 * model.LEASE)
     serve_when_allowed(world, outsider)
 
@@ -284,10 +285,7 @@
     """
     owner, successor, outsider, heir = world.nodes
     model.start_serving(world, owner, successor)
-    append = world.take(outsider, heir)
-    assert append is not None
-    world.land(append)
-    world.read(outsider)
+    take(world, outsider, heir)
     world.read(heir)
     world.restart(outsider)
     renew_for(world, owner, successor, 2 * model.LEASE)
