--- a/packages/apricotlandingd/src/apricotlandingd/tierqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/tierqueue.py
@@ -89,7 +89,7 @@
         lane.items.append(waiting)
         lane.tokens += waiting.tokens
 
-    def peek(self) -> Waiting | None:
+    def _peek(self) -> Waiting | None:
         """Return who is next; None if nothing is ready."""
         while self._heap:
             at, _, name = self._heap[0]
@@ -105,7 +105,7 @@
 
         In order of arrival; empty if nothing is ready.
         """
-        head = self.peek()
+        head = self._peek()
         found: list[Waiting] = []
         if head is None:
             return found
