Spare small records the log stand-in's bundle faults

Cause: daemons append small records of their own at any time, and one of them could take a lost reply or a late append that a test meant for a bundle; the test then checked nothing. Change: faults of appends can spare records below a size; the two tests of bundles set it. Their checks are as they were.

--- a/packages/apricotstandins/src/apricotstandins/logservice.py
+++ b/packages/apricotstandins/src/apricotstandins/logservice.py
@@ -34,6 +34,10 @@
     # Appends still to come that fail now and take effect later.
     late_appends: int = 0
     late_s: float = 0.0
+    # Appends of fewer bytes are spared by the two faults above. Daemons
+    # append small records of their own at any time, and one of them would
+    # take a fault that was meant for a bundle.
+    spared_bytes: int = 0
     # Most records kept; 0 keeps all.
     retention: int = 0
 
@@ -81,7 +85,8 @@
         await asgi.send_json(send, 200, state)
 
     async def _append(self, body: bytes, send: asgi.Send) -> None:
-        if self.faults.late_appends > 0:
+        is_spared = len(body) < self.faults.spared_bytes
+        if self.faults.late_appends > 0 and not is_spared:
             self.faults.late_appends -= 1
             await asgi.send_json(send, 503, {'error': 'try again'})
             # The connection's task lives on after the answer: the record
@@ -90,7 +95,7 @@
             self._store(body)
             return
         offset = self._store(body)
-        if self.faults.lost_replies > 0:
+        if self.faults.lost_replies > 0 and not is_spared:
             self.faults.lost_replies -= 1
             await asgi.send_json(send, 503, {'error': 'reply lost'})
             return
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -10,6 +10,10 @@
 import systems
 
 
+# Every bundle is larger than this and every other record smaller, in bytes.
+BUNDLE_BYTES = 1000
+
+
 class TestBundles(systems.SystemTestCase):
     """Operators change the configuration of three running daemons."""
 
@@ -44,14 +48,18 @@
     def test_lost_replies_do_not_double_or_lose_a_change(self) -> None:
         # The append takes effect and its reply is lost: the daemon finds
         # its own record in the log and reports success.
-        self.system.set_faults('log', lost_replies=2)
+        self.system.set_faults(
+            'log', lost_replies=2, spared_bytes=BUNDLE_BYTES
+        )
         self.assertEqual(200, self.submit(2, 1).status)
         self.wait_version(2)
 
     def test_record_that_lands_late_does_not_revert(self) -> None:
         # The append of version 2 fails and takes effect seconds later, when
         # another version 2 and a version 3 are in force already.
-        self.system.set_faults('log', late_appends=1, late_s=4.0)
+        self.system.set_faults(
+            'log', late_appends=1, late_s=4.0, spared_bytes=BUNDLE_BYTES
+        )
         late = self.submit(2, 1, 'entry-1', deployment.APPROVER)
         self.assertNotEqual(200, late.status)
         self.assertEqual(200, self.submit(2, 1, 'entry-2').status)
