Close idle connections in a planned stop; bound how long a lapse counts

Ruled out: the balancer (the late requests came on old connections); peers that were behind (all hosts had the removal within 3 ms). Change: 2.5 s after SIGTERM the listener closes and with it each idle connection; a lapse is kept until 2.2 s after the outage, and never longer than the drain bound less 0.5 s.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -193,8 +193,14 @@
 class Server:
     """An HTTP listener."""
 
-    def __init__(self, app: App, *places: addresses.Address) -> None:
-        """Bind the addresses; OSError if that cannot be."""
+    def __init__(
+        self, app: App, *places: addresses.Address, stop_s: float = 2.0
+    ) -> None:
+        """Bind the addresses; OSError if that cannot be.
+
+        ``stop_s`` is how long answers under way get after ``stop``, in
+        seconds.
+        """
         self._sockets = [bind_address(address) for address in places]
         self._config = config = uvicorn.Config(
             app,
@@ -208,7 +214,7 @@
             date_header=False,
             backlog=BACKLOG,
             timeout_keep_alive=10,
-            timeout_graceful_shutdown=2,
+            timeout_graceful_shutdown=math.ceil(stop_s),
         )
         self._server = _QuietServer(config)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
@@ -18,8 +18,9 @@
 # How long after its return the store may still miss a runner that lives, in
 # seconds; the platform promises about two.
 LAPSE = 2.2
-# Seconds after an outage in which a removal may be a lapse.
-OUTAGE_TAIL = 3.0
+# Seconds by which a runner is dropped before its drain time ends, so that
+# what was sent to it just before arrives in time.
+DRAIN_MARGIN = 0.5
 
 
 @ty.final
@@ -34,8 +35,13 @@
 class Directory:
     """Runners as they are registered."""
 
-    def __init__(self) -> None:
-        """Start without runners."""
+    def __init__(self, drain_s: float) -> None:
+        """Start without runners.
+
+        ``drain_s`` is the time after which a runner that has left gets
+        nothing more, in seconds.
+        """
+        self._keep_s = max(0.0, drain_s - DRAIN_MARGIN)
         self._places: dict[ids.Runner, _Place] = {}
         self._outage_at: float | None = None
 
@@ -62,7 +68,10 @@
         for runner, place in list(self._places.items()):
             if place.removed_at is None:
                 continue
-            if now - place.removed_at > LAPSE:
+            # The second bound holds if only this host was turned away: the
+            # runner may have left for good all the same.
+            is_over = now - place.removed_at > self._keep_s
+            if is_over or not self._is_outage(now):
                 del self._places[runner]
 
     def find(self, runner: ids.Runner) -> dialect.RunnerEntry | None:
@@ -85,4 +94,4 @@
     def _is_outage(self, now: float) -> bool:
         if self._outage_at is None:
             return False
-        return now - self._outage_at < OUTAGE_TAIL
+        return now - self._outage_at < LAPSE
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -58,8 +58,9 @@
 # Seconds after SIGTERM in which new connections may still arrive: the
 # balancer asks once a second and acts on the second answer.
 STOP_NOTICE = 2.5
-# Seconds without a request before a stopping process ends.
-STOP_QUIET = 0.3
+# Seconds between looks at what is still open, and after the last of it.
+STOP_LOOK = 0.05
+STOP_QUIET = 0.15
 # Part of the grace after which a stopping process ends although requests
 # are open: they would be cut by the kill that follows.
 STOP_PART = 0.97
@@ -110,7 +111,7 @@
 
     def _build_sharing(self) -> None:
         config = self._settings
-        self._directory = directory.Directory()
+        self._directory = directory.Directory(config.bounds.drain_s)
         self._board = records.Board()
         self._board.add_observer(self._take_record)
         self._readers = [
@@ -183,7 +184,11 @@
             self._measures,
         )
         self._server = asgi.Server(
-            self._listener, config.callers, config.readiness, config.metrics
+            self._listener,
+            config.callers,
+            config.readiness,
+            config.metrics,
+            stop_s=bounds.stop_grace_s,
         )
         self._measures.gauges = {
             'open_requests': lambda: self._listener.open_requests,
@@ -434,25 +439,22 @@
         )
 
     async def _drain(self) -> None:
-        began_at = clocks.read_monotonic()
         self._is_stopping = True
         self._mesh.tell()
         eliot.log_message(
             'gateway:stopping', open=self._listener.open_requests
         )
-        quiet_since = began_at
-        limit = began_at + self._settings.bounds.stop_grace_s * STOP_PART
-        while True:
-            await anyio.sleep(0.05)
-            now = clocks.read_monotonic()
-            if self._listener.open_requests:
-                quiet_since = now
-            if now > limit:
-                break
-            if now - began_at < STOP_NOTICE:
-                continue
-            if now - quiet_since > STOP_QUIET:
-                break
+        await anyio.sleep(STOP_NOTICE)
+        # Kept connections that are unused are closed now: a request that a
+        # caller sends on one of them later would be cut by the end of the
+        # grace.
+        self._server.stop()
+        left = self._settings.bounds.stop_grace_s * STOP_PART - STOP_NOTICE
+        with anyio.move_on_after(left):
+            while self._listener.open_requests:
+                await anyio.sleep(STOP_LOOK)
+            # The last bytes of the last answer.
+            await anyio.sleep(STOP_QUIET)
         eliot.log_message(
             'gateway:drained', open=self._listener.open_requests
         )
