Test the gateway against stand-ins of the platform, and its decisions

Change: stand-ins of store and runners in platform/tests, cases for bad input, failing runners, outages of the store, planned stops and allowances; the decisions are tested without a network, with the time as an argument. Found while writing them: with two runners the upper median of their failure rates was that of the failing one, which was therefore never avoided; the server trusted X-Forwarded-For of loopback callers.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 PACKAGES := packages/apricotlanding packages/apricotlandingd \
-	packages/apricotctl packages/apricotstandins
+	packages/apricotctl packages/apricotstandins platform
 
 .PHONY: demo test check format clean
 
@@ -24,7 +24,7 @@
 check: .venv/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 packages demo tests bench
+	$(BIN)/flake8 packages platform demo tests bench
 	$(BIN)/mypy
 
 format: .venv/installed
--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -207,6 +207,9 @@
             loop='none',
             http=_BoundedProtocol,
             ws='none',
+            interface='asgi3',
+            # Nothing stands between callers and us that rewrites addresses.
+            proxy_headers=False,
             lifespan='off',
             log_config=None,
             access_log=False,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -91,7 +91,7 @@
 class Parts:
     """What all exchanges of a daemon share."""
 
-    dialect: dialect.Dialect
+    spoken: dialect.Dialect
     quotas: quotas.Quotas
     second_sends: secondsends.SecondSends
     scheduler: scheduler.Scheduler
@@ -167,7 +167,7 @@
     # Admitting.
 
     async def _admit(self) -> errors.Problem | None:
-        head = self._parts.dialect.read_request(
+        head = self._parts.spoken.read_request(
             self._method, self._target, self._scope['headers']
         )
         if head is None:
@@ -370,9 +370,7 @@
             PATIENCE_OBJECTIVES * self._route.objective_s,
             PATIENCE_GAPS * self._route.gap_objective_s,
         )
-        return min(
-            self._limit_at, self._arrived_at + patience * PATIENCE_PART
-        )
+        return min(self._limit_at, self._arrived_at + patience * PATIENCE_PART)
 
     # Sending.
 
@@ -391,9 +389,7 @@
             now = clocks.read_monotonic()
             self._release(runner, now, now - began_at)
 
-    def _release(
-        self, runner: ids.Runner, now: float, held_s: float
-    ) -> None:
+    def _release(self, runner: ids.Runner, now: float, held_s: float) -> None:
         self._parts.scheduler.release(self._service, runner, held_s, now)
         self._parts.on_change()
 
@@ -438,7 +434,7 @@
         return runnerclient.Call(
             method=self._method,
             target=self._target,
-            headers=self._parts.dialect.write_request(
+            headers=self._parts.spoken.write_request(
                 self._head,
                 entry.id,
                 None if organisation is None else organisation.name,
@@ -449,9 +445,7 @@
             is_repeatable=self._route.is_repeatable(),
         )
 
-    def _note_bad(
-        self, entry: dialect.RunnerEntry, is_reached: bool
-    ) -> None:
+    def _note_bad(self, entry: dialect.RunnerEntry, is_reached: bool) -> None:
         now = clocks.read_monotonic()
         if is_reached:
             self._parts.health.note_failure(entry.id, now)
@@ -484,8 +478,7 @@
 
     def _can_leave(self) -> bool:
         return (
-            self._route.is_repeatable()
-            and self._sends < self._route.max_sends
+            self._route.is_repeatable() and self._sends < self._route.max_sends
         )
 
     # Answers.
@@ -498,7 +491,7 @@
         began_at: float,
         had_run: bool,
     ) -> _End:
-        head = self._parts.dialect.read_answer(answer.status, answer.headers)
+        head = self._parts.spoken.read_answer(answer.status, answer.headers)
         answer.idle_s = head.idle_s
         now = clocks.read_monotonic()
         if head.load is not None:
@@ -566,9 +559,7 @@
         self._outcome = 'answered'
         return _End.DONE
 
-    async def _deliver(
-        self, head: dialect.AnswerHead, body: bytes
-    ) -> None:
+    async def _deliver(self, head: dialect.AnswerHead, body: bytes) -> None:
         self._outcome = f'answered {head.status}'
         await self._start(head, len(body))
         await asgi.send_part(self._send, body, is_last=True)
@@ -677,7 +668,7 @@
         self._detail = self._detail or problem.text
         body = f'{problem}\n'.encode()
         headers = [
-            *self._parts.dialect.write_refusal(
+            *self._parts.spoken.write_refusal(
                 self._head.attempt, problem.retry_after_s
             ),
             (b'content-type', b'text/plain; charset=utf-8'),
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -155,7 +155,7 @@
             self._spread,
         )
         parts = exchange.Parts(
-            dialect=self._dialect,
+            spoken=self._dialect,
             quotas=self._quotas,
             second_sends=secondsends.SecondSends(
                 bounds.resend_share,
@@ -215,9 +215,7 @@
             tree.start('pump', self._pump_forever)
             tree.start('tidy', self._tidy_forever)
             tree.start('signals', self._watch_signals)
-            eliot.log_message(
-                'gateway:started', incarnation=self.incarnation
-            )
+            eliot.log_message('gateway:started', incarnation=self.incarnation)
             await self._stop_asked.wait()
             await self._drain()
         for client in self._clients.values():
@@ -230,6 +228,27 @@
             return False
         return records.has_all(self._board.positions)
 
+    def stop(self) -> None:
+        """Begin a graceful stop, as SIGTERM does."""
+        self._stop_asked.set()
+
+    def count_peers(self) -> int:
+        """Return the number of other hosts that are known."""
+        return len(self._mesh.peers)
+
+    @property
+    def configuration_version(self) -> ids.Version | None:
+        """Return the version in force here; None before the first."""
+        return None if self._catalogue is None else self._catalogue.version
+
+    def list_open_runners(self) -> list[ids.Runner]:
+        """Return the runners that take new requests."""
+        return [
+            entry.id
+            for entry in self._directory.list_all()
+            if not entry.is_draining
+        ]
+
     # Records.
 
     def _take_record(
@@ -290,8 +309,7 @@
         before = [
             peer
             for peer in self._mesh.list_heard(now)
-            if peer.state.reads_store
-            and peer.state.host < self._settings.host
+            if peer.state.reads_store and peer.state.host < self._settings.host
         ]
         return len(before) < READERS
 
@@ -422,7 +440,7 @@
                 if number is signal.SIGHUP:
                     self._read_settings()
                     continue
-                self._stop_asked.set()
+                self.stop()
 
     def _read_settings(self) -> None:
         try:
@@ -455,6 +473,4 @@
                 await anyio.sleep(STOP_LOOK)
             # The last bytes of the last answer.
             await anyio.sleep(STOP_QUIET)
-        eliot.log_message(
-            'gateway:drained', open=self._listener.open_requests
-        )
+        eliot.log_message('gateway:drained', open=self._listener.open_requests)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/health.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/health.py
@@ -63,7 +63,7 @@
     ) -> set[ids.Runner]:
         """Return those of a service's runners that should be avoided."""
         rates = [self._find(runner).rate for runner in runners]
-        usual = sorted(rates)[len(rates) // 2] if rates else 0.0
+        usual = sorted(rates)[(len(rates) - 1) // 2] if rates else 0.0
         avoided: set[ids.Runner] = set()
         for runner in runners:
             record = self._find(runner)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
@@ -258,9 +258,7 @@
         self._number += 1
         known = list(self.peers.values())
         hinted = self._spread.sample(known, min(HINTS, len(known)))
-        hints = {
-            peer.state.host: peer.state.state_address for peer in hinted
-        }
+        hints = {peer.state.host: peer.state.state_address for peer in hinted}
         state = self.make_state(self._number, hints)
         return messages.registry.encode(state)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/placement.py
@@ -64,9 +64,7 @@
     )
 
 
-def _predict(
-    ticket: waiting.Ticket, option: Option, is_home: bool
-) -> float:
+def _predict(ticket: waiting.Ticket, option: Option, is_home: bool) -> float:
     read = option.pace.read_s * ticket.prompt_tokens
     saved = 0.0
     if option.has_part:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/records.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/records.py
@@ -71,9 +71,7 @@
             self.changed.set()
             self.changed = anyio.Event()
 
-    def list_since(
-        self, topic: dialect.Topic, offset: int
-    ) -> dialect.Batch:
+    def list_since(self, topic: dialect.Topic, offset: int) -> dialect.Batch:
         """Return the records at or after an offset."""
         found = [
             record
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runnerclient.py
@@ -207,9 +207,7 @@
         poller.register(raw.fileno(), select.POLLIN | select.POLLHUP)
         return not poller.poll(0)
 
-    async def send(
-        self, call: Call, group: anyio.abc.TaskGroup
-    ) -> None:
+    async def send(self, call: Call, group: anyio.abc.TaskGroup) -> None:
         headers = list(call.headers)
         if call.body or call.method not in ('GET', 'HEAD', 'DELETE'):
             length = str(len(call.body)).encode()
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -90,9 +90,9 @@
         self.running: collections.Counter[ids.Runner] = collections.Counter()
         self._loads: dict[ids.Runner, _Load] = {}
         self._holds: dict[ids.Pool, float] = {}
-        self._parts: collections.OrderedDict[
-            tuple[str, ids.Runner], float
-        ] = collections.OrderedDict()
+        self._parts: collections.OrderedDict[tuple[str, ids.Runner], float] = (
+            collections.OrderedDict()
+        )
         self._yielded_at: dict[ids.Pool, float] = {}
 
     # Requests.
@@ -136,9 +136,7 @@
 
     # What peers are told.
 
-    def list_waiting(
-        self, now: float
-    ) -> dict[ids.Pool, list[waiting.Rank]]:
+    def list_waiting(self, now: float) -> dict[ids.Pool, list[waiting.Rank]]:
         """Return the ranks of what waits here, sorted, by service."""
         return {
             service: sorted(ticket.find_rank(now) for ticket in tickets)
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,456 @@
+"""The gateway's decisions, without a network: time is an argument."""
+
+import random
+
+import testtools
+
+from apricotlanding import addresses
+from apricotlanding import ids
+from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway import directory
+from apricotlandingd.gateway import health
+from apricotlandingd.gateway import pace
+from apricotlandingd.gateway import quotas
+from apricotlandingd.gateway import records
+from apricotlandingd.gateway import scheduler
+from apricotlandingd.gateway import secondsends
+from apricotlandingd.gateway import streams
+from apricotlandingd.gateway import waiting
+
+POOL = ids.Pool('pool')
+FESTIN = catalogue.Organisation(
+    name=ids.Organisation('festin'),
+    keys=frozenset(),
+    tier=None,
+    units_per_s=100.0,
+    burst_units=100.0,
+    counts_tokens=True,
+    default_tokens=10.0,
+)
+
+
+def make_entry(
+    name: str, slots: int = 2, is_draining: bool = False
+) -> dialect.RunnerEntry:
+    return dialect.RunnerEntry(
+        id=ids.Runner(name),
+        service=POOL,
+        address=addresses.Address('127.0.0.1', 1),
+        domain=ids.Domain('d1'),
+        slots=slots,
+        is_draining=is_draining,
+    )
+
+
+class QuietOthers:
+    """Other hosts that run and want what a test says."""
+
+    def __init__(self) -> None:
+        self.running: dict[ids.Runner, int] = {}
+        self.ranks: list[waiting.Rank] = []
+        self.silent = 0.0
+
+    def count_running(self, runner: ids.Runner, now: float) -> int:
+        return self.running.get(runner, 0)
+
+    def list_waiting(
+        self, service: ids.Pool, now: float
+    ) -> list[waiting.Rank]:
+        return sorted(self.ranks)
+
+    def find_silent_share(self, now: float) -> float:
+        return self.silent
+
+
+class TestScheduler(testtools.TestCase):
+    """Two runners with two places each."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.others = QuietOthers()
+        self.runners = directory.Directory(2.0)
+        for name in ('r1', 'r2'):
+            self.runners.update(make_entry(name))
+        self.health = health.Health()
+        self.paces = pace.Paces()
+        self.scheduler = scheduler.Scheduler(
+            self.runners,
+            self.paces,
+            self.health,
+            self.others,
+            random.Random(1),
+        )
+        self.count = 0
+
+    def enter(
+        self,
+        now: float,
+        tier: int = 0,
+        on_time_by: float | None = None,
+        useful_until: float | None = None,
+    ) -> waiting.Ticket:
+        self.count += 1
+        ticket = waiting.Ticket(
+            attempt=f'a{self.count}',
+            service=POOL,
+            tier=ids.Tier(tier),
+            route_tier=ids.Tier(tier),
+            arrived_at=now,
+            on_time_by=now + 1 if on_time_by is None else on_time_by,
+            useful_until=now + 3 if useful_until is None else useful_until,
+            ends_at=now + 15,
+            prompt_tokens=100,
+            output_tokens=10,
+            last_part='',
+        )
+        self.scheduler.enter(ticket, now)
+        return ticket
+
+    def fill(self, now: float = 0.0) -> list[waiting.Ticket]:
+        return [self.enter(now) for _ in range(4)]
+
+    def release(self, ticket: waiting.Ticket, now: float) -> None:
+        grant = ticket.decision
+        assert isinstance(grant, waiting.Grant)
+        self.scheduler.release(POOL, grant.runner, 1.0, now)
+
+    def test_free_place_is_granted_at_once(self) -> None:
+        for ticket in self.fill():
+            self.assertIsInstance(ticket.decision, waiting.Grant)
+
+    def test_places_are_never_overfilled(self) -> None:
+        self.fill()
+        self.assertIsNone(self.enter(0.0).decision)
+
+    def test_places_of_peers_count(self) -> None:
+        self.others.running = {ids.Runner('r1'): 2, ids.Runner('r2'): 2}
+        self.assertIsNone(self.enter(0.0).decision)
+
+    def test_higher_tier_goes_first(self) -> None:
+        full = self.fill()
+        low = self.enter(0.0, tier=1)
+        high = self.enter(0.1, tier=0)
+        self.release(full[0], 0.2)
+        self.assertIsInstance(high.decision, waiting.Grant)
+        self.assertIsNone(low.decision)
+
+    def test_one_in_time_goes_before_one_that_is_late(self) -> None:
+        full = self.fill()
+        late = self.enter(0.0, on_time_by=0.1)
+        fresh = self.enter(0.2, on_time_by=1.0)
+        self.release(full[0], 0.3)
+        self.assertIsInstance(fresh.decision, waiting.Grant)
+        self.assertIsNone(late.decision)
+
+    def test_place_is_yielded_to_a_peer_that_goes_first(self) -> None:
+        full = self.fill()
+        mine = self.enter(0.0, tier=1)
+        self.others.ranks = [(0, 0, False, 1.0)]
+        self.release(full[0], 0.1)
+        self.assertIsNone(mine.decision)
+
+    def test_place_that_the_peer_leaves_is_taken(self) -> None:
+        # A peer that died with a request waiting must not keep a place free.
+        full = self.fill()
+        mine = self.enter(0.0, tier=1)
+        self.others.ranks = [(0, 0, False, 1.0)]
+        self.release(full[0], 0.1)
+        self.scheduler.pump(0.1 + scheduler.YIELD_TIME * 1.5)
+        self.assertIsInstance(mine.decision, waiting.Grant)
+
+    def test_hopeless_request_is_refused_at_once(self) -> None:
+        self.fill()
+        for _ in range(20):
+            self.enter(0.0)
+        last = self.enter(0.0, useful_until=1.0)
+        refusal = last.decision
+        assert isinstance(refusal, waiting.Refusal)
+        self.assertGreater(refusal.wait_s, 1.0)
+
+    def test_time_to_come_back_fits_the_callers_time(self) -> None:
+        self.fill()
+        for _ in range(20):
+            self.enter(0.0)
+        refusal = self.enter(0.0, useful_until=1.0).decision
+        assert isinstance(refusal, waiting.Refusal)
+        self.assertLessEqual(refusal.return_s, 15 / 3)
+
+    def test_lower_tier_is_refused_and_the_higher_one_kept(self) -> None:
+        # The places are full and six of the lower tier wait. As the higher
+        # tier comes in, the wait of the lower one outgrows its use.
+        self.fill()
+        low = [self.enter(0.0, tier=1, useful_until=1.5) for _ in range(5)]
+        high = [self.enter(0.1, tier=0) for _ in range(4)]
+        self.assertTrue(all(item.decision is None for item in high))
+        self.assertIsInstance(low[-1].decision, waiting.Refusal)
+
+    def test_no_runner_is_waited_for_only_a_moment(self) -> None:
+        for name in ('r1', 'r2'):
+            self.runners.update(make_entry(name, is_draining=True))
+        ticket = self.enter(0.0)
+        self.assertIsNone(ticket.decision)
+        self.scheduler.pump(scheduler.EMPTY_WAIT + 0.1)
+        self.assertIsInstance(ticket.decision, waiting.Refusal)
+
+    def test_host_that_hears_nobody_uses_its_share(self) -> None:
+        # Cut off from the other hosts, which may go on serving: all of them
+        # together must not overfill the runners.
+        self.others.silent = 0.5
+        granted = [self.enter(0.0).decision for _ in range(4)]
+        count = sum(isinstance(item, waiting.Grant) for item in granted)
+        self.assertEqual(2, count)
+
+    def test_stated_load_shows_that_silent_peers_are_gone(self) -> None:
+        self.others.silent = 0.5
+        for name in ('r1', 'r2'):
+            self.scheduler.note_load(ids.Runner(name), (0, 0), 0.0)
+        granted = [self.enter(0.1).decision for _ in range(4)]
+        count = sum(isinstance(item, waiting.Grant) for item in granted)
+        self.assertEqual(4, count)
+
+    def test_failing_runner_is_avoided_while_others_are_free(self) -> None:
+        for _ in range(3):
+            self.health.note_failure(ids.Runner('r1'), 0.0)
+        for _ in range(2):
+            grant = self.enter(0.1).decision
+            assert isinstance(grant, waiting.Grant)
+            self.assertEqual('r2', grant.runner)
+
+    def test_faster_runner_is_taken_first(self) -> None:
+        for _ in range(5):
+            self.paces.note_first(POOL, ids.Runner('r1'), 100, 0.5)
+            self.paces.note_first(POOL, ids.Runner('r2'), 100, 0.05)
+        grant = self.enter(0.0).decision
+        assert isinstance(grant, waiting.Grant)
+        self.assertEqual('r2', grant.runner)
+
+
+class TestQuotas(testtools.TestCase):
+    """A hundred units a second, a hundred at once."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.quotas = quotas.Quotas(0.0)
+
+    def take(self, units: float, now: float, silent: float = 0.0) -> bool:
+        return self.quotas.take(FESTIN, units, silent, now) is None
+
+    def test_burst_is_handed_out_at_once(self) -> None:
+        self.assertTrue(self.take(100, 0.0))
+        self.assertFalse(self.take(10, 0.0))
+
+    def test_refilled_with_time(self) -> None:
+        self.take(100, 0.0)
+        self.assertTrue(self.take(50, 0.5))
+
+    def test_time_to_come_back_is_when_there_is_enough(self) -> None:
+        self.take(100, 0.0)
+        wait = self.quotas.take(FESTIN, 50, 0.0, 0.0)
+        assert wait is not None
+        self.assertAlmostEqual(0.5, wait)
+
+    def test_use_of_a_peer_counts(self) -> None:
+        self.take(0, 0.0)
+        peer = ids.Incarnation('other/1')
+        self.quotas.hear(peer, {FESTIN.name: 10.0})
+        self.quotas.hear(peer, {FESTIN.name: 100.0})
+        self.assertFalse(self.take(20, 0.0))
+        self.assertTrue(self.take(10, 0.0))
+
+    def test_hosts_that_hear_nobody_hand_out_the_rate_once(self) -> None:
+        # Four hosts, each cut off from the three others.
+        hosts = [quotas.Quotas(0.0) for _ in range(4)]
+        total = 0.0
+        for step in range(1000):
+            for host in hosts:
+                if host.take(FESTIN, 1.0, 0.75, step / 100) is None:
+                    total += 1
+        self.assertLessEqual(total, FESTIN.burst_units + 10 * 100.0 + 4)
+
+    def test_units_of_a_request_that_did_not_run_come_back(self) -> None:
+        self.take(100, 0.0)
+        self.quotas.give_back(FESTIN, 100)
+        self.assertTrue(self.take(100, 0.0))
+
+    def test_larger_request_goes_when_the_bucket_is_full(self) -> None:
+        self.assertTrue(self.take(500, 0.0))
+        self.assertFalse(self.take(500, 1.0))
+        self.assertTrue(self.take(500, 5.0))
+
+
+class TestDirectory(testtools.TestCase):
+    """Runners whose registration goes."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.runners = directory.Directory(2.0)
+        self.runners.update(make_entry('r1'))
+
+    def is_open(self, now: float) -> bool:
+        self.runners.expire(now)
+        return bool(self.runners.list_open(POOL))
+
+    def test_removed_runner_is_gone_at_once(self) -> None:
+        self.runners.remove(ids.Runner('r1'), 10.0)
+        self.assertFalse(self.is_open(10.0))
+
+    def test_lapse_in_an_outage_is_waited_for(self) -> None:
+        # The store comes back and all registrations are gone, because no
+        # runner could renew its own. Each of them serves.
+        self.runners.note_outage(9.9)
+        self.runners.remove(ids.Runner('r1'), 10.0)
+        self.assertTrue(self.is_open(11.0))
+
+    def test_runner_that_does_not_come_back_is_gone(self) -> None:
+        self.runners.note_outage(9.9)
+        self.runners.remove(ids.Runner('r1'), 10.0)
+        self.assertFalse(self.is_open(12.2))
+
+    def test_lapse_never_outlasts_the_drain_time(self) -> None:
+        # A caller's request reached a runner 2082 ms after it had left: the
+        # store had turned this host away three seconds before the runner
+        # left for good, and the removal was taken for a lapse.
+        self.runners.note_outage(9.9)
+        self.runners.remove(ids.Runner('r1'), 10.0)
+        self.runners.note_outage(11.0)
+        self.assertFalse(self.is_open(11.6))
+
+    def test_draining_runner_never_lapses(self) -> None:
+        self.runners.update(make_entry('r1', is_draining=True))
+        self.runners.note_outage(9.9)
+        self.runners.remove(ids.Runner('r1'), 10.0)
+        self.assertIsNone(self.runners.find(ids.Runner('r1')))
+
+
+class TestHealth(testtools.TestCase):
+    """Three runners of one service."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.health = health.Health()
+        self.names = [ids.Runner(name) for name in ('r1', 'r2', 'r3')]
+
+    def note(self, name: str, times: int, now: float = 0.0) -> None:
+        for _ in range(times):
+            self.health.note_failure(ids.Runner(name), now)
+
+    def test_one_failure_is_forgiven(self) -> None:
+        self.note('r1', 1)
+        self.assertEqual(set(), self.health.list_avoided(self.names, 0.1))
+
+    def test_failing_runner_is_avoided(self) -> None:
+        self.note('r1', 3)
+        self.assertEqual({'r1'}, self.health.list_avoided(self.names, 0.1))
+
+    def test_avoided_runner_is_tried_again(self) -> None:
+        self.note('r1', 3)
+        self.assertEqual(set(), self.health.list_avoided(self.names, 1.1))
+
+    def test_nobody_is_avoided_if_all_fail_alike(self) -> None:
+        for name in self.names:
+            self.note(name, 3)
+        self.assertEqual(set(), self.health.list_avoided(self.names, 0.1))
+
+
+class TestSecondSends(testtools.TestCase):
+    """A fifth of the requests and ten more in ten seconds, over all hosts."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.budget = secondsends.SecondSends(0.2, 10.0, 10.0)
+
+    def test_hosts_together_keep_the_slack(self) -> None:
+        hosts = [secondsends.SecondSends(0.2, 10.0, 10.0) for _ in range(2)]
+        taken = sum(
+            host.take(POOL, 2, 0.0) for host in hosts for _ in range(20)
+        )
+        self.assertLessEqual(taken, 10)
+        self.assertGreaterEqual(taken, 6)
+
+    def test_share_of_the_requests_is_added(self) -> None:
+        for _ in range(100):
+            self.budget.note_request(POOL, 0.0)
+        taken = sum(self.budget.take(POOL, 1, 0.0) for _ in range(100))
+        self.assertEqual(24, taken)
+
+    def test_window_slides(self) -> None:
+        while self.budget.take(POOL, 1, 0.0):
+            continue
+        self.assertTrue(self.budget.take(POOL, 1, 11.0))
+
+
+class TestEventReader(testtools.TestCase):
+    """Whole events, in order, once."""
+
+    def test_half_an_event_waits_for_its_rest(self) -> None:
+        reader = streams.EventReader('')
+        self.assertEqual(b'', reader.take(b'id: 1\ndata: a'))
+        self.assertEqual(b'id: 1\ndata: a\n\n', reader.take(b'\n\n'))
+        self.assertEqual('1', reader.last_event)
+
+    def test_part_ends_within_the_next_event(self) -> None:
+        reader = streams.EventReader('')
+        whole = reader.take(b'id: 1\ndata: a\n\nid: 2\nda')
+        self.assertEqual(b'id: 1\ndata: a\n\n', whole)
+        self.assertTrue(reader.has_partial())
+
+    def test_repeated_event_is_found(self) -> None:
+        reader = streams.EventReader('4')
+        self.assertRaises(
+            streams.OutOfOrder, reader.take, b'id: 4\ndata: a\n\n'
+        )
+
+    def test_separator_that_is_split(self) -> None:
+        reader = streams.EventReader('')
+        self.assertEqual(b'', reader.take(b'id: 1\ndata: a\n'))
+        self.assertEqual(b'id: 1\ndata: a\n\n', reader.take(b'\n'))
+
+
+class TestBoard(testtools.TestCase):
+    """The newest record of each key."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.board = records.Board()
+        self.seen: list[tuple[str, bytes | None]] = []
+        self.board.add_observer(
+            lambda topic, record: self.seen.append((record.key, record.value))
+        )
+
+    def apply(
+        self, offset: int, value: bytes | None, is_whole: bool = False
+    ) -> None:
+        rows = (
+            ()
+            if value is None and is_whole
+            else (dialect.Record('k', offset, value),)
+        )
+        batch = dialect.Batch(rows, offset + 1)
+        self.board.apply(dialect.RUNNERS, batch, is_whole)
+
+    def test_older_record_is_not_applied(self) -> None:
+        self.apply(5, b'new')
+        self.apply(3, b'old')
+        self.assertEqual([('k', b'new')], self.seen)
+
+    def test_removal_is_not_undone_by_a_peer_behind(self) -> None:
+        self.apply(5, b'x')
+        self.apply(6, None)
+        self.apply(5, b'x')
+        self.assertEqual([('k', b'x'), ('k', None)], self.seen)
+
+    def test_key_that_a_snapshot_lacks_was_removed(self) -> None:
+        self.apply(5, b'x')
+        self.apply(9, None, is_whole=True)
+        self.assertEqual([('k', b'x'), ('k', None)], self.seen)
+
+    def test_stale_snapshot_removes_nothing(self) -> None:
+        self.apply(5, b'x')
+        self.apply(2, None, is_whole=True)
+        self.assertEqual([('k', b'x')], self.seen)
+
+    def test_positions_never_fall(self) -> None:
+        self.apply(5, b'x')
+        self.apply(2, b'y')
+        self.assertEqual(6, self.board.positions[dialect.RUNNERS])
