--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
@@ -92,6 +92,9 @@
         for seed in seeds:
             self.seek(seed)
         self._changed = anyio.Event()
+        # Two tasks send, and a socket takes one sender at a time: without
+        # this the second one fails and the host is silent until restarted.
+        self._send_lock = anyio.Lock()
         self._number = 0
         # Processes that have been followed by another one on their host.
         self._ended: collections.deque[ids.Incarnation] = collections.deque(
@@ -239,7 +242,9 @@
             self.drop_silent(clocks.read_monotonic())
             data = self._write_state()
             for peer in list(self.peers.values()):
-                await _send(socket, data, _parse(peer.state.state_address))
+                await self._send(
+                    socket, data, _parse(peer.state.state_address)
+                )
             pause = INTERVAL_A_PEER * len(self.peers)
             await anyio.sleep(min(HEARTBEAT, pause))
 
@@ -251,9 +256,23 @@
                     del self._sought[address]
                     continue
                 self._sought[address] = tries - 1
-                await _send(socket, data, address)
+                await self._send(socket, data, address)
             await anyio.sleep(SEARCH_INTERVAL)
 
+    async def _send(
+        self,
+        socket: anyio.abc.UDPSocket,
+        data: bytes,
+        address: addresses.Address,
+    ) -> None:
+        try:
+            async with self._send_lock:
+                await socket.sendto(data, address.host, address.port)
+        except OSError:
+            # No route or a full buffer: like any lost datagram, the next one
+            # makes it good.
+            return
+
     def _write_state(self) -> bytes:
         self._number += 1
         known = list(self.peers.values())
@@ -265,14 +284,3 @@
 
 def _parse(address: str) -> addresses.Address:
     return addresses.parse_address(address)
-
-
-async def _send(
-    socket: anyio.abc.UDPSocket, data: bytes, address: addresses.Address
-) -> None:
-    try:
-        await socket.sendto(data, address.host, address.port)
-    except OSError:
-        # No route or a full buffer: like any lost datagram, the next one
-        # makes it good.
-        return
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runnerclient.py
@@ -138,21 +138,32 @@
     async def close_expired(self, now: float) -> None:
         """Close connections before the runner does."""
         expired = [item for item in self._idle if item.is_expired(now)]
+        self._idle = [item for item in self._idle if item not in expired]
         for connection in expired:
-            self._idle.remove(connection)
             await connection.close()
 
     async def _take_connection(self, is_repeatable: bool) -> '_Connection':
         now = clocks.read_monotonic()
-        for connection in reversed(list(self._idle)):
-            if not is_repeatable and now - connection.idle_at > FRESH_IDLE:
-                continue
-            self._idle.remove(connection)
-            connection.is_kept = False
+        while True:
+            connection = self._pop_idle(is_repeatable, now)
+            if connection is None:
+                return await self._connect()
             if connection.is_usable(now):
                 return connection
             await connection.close()
-        return await self._connect()
+
+    def _pop_idle(
+        self, is_repeatable: bool, now: float
+    ) -> '_Connection | None':
+        # The newest first: it is the least likely to be closed by now.
+        for place in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[place]
+            if not is_repeatable and now - connection.idle_at > FRESH_IDLE:
+                continue
+            del self._idle[place]
+            connection.is_kept = False
+            return connection
+        return None
 
     async def _connect(self) -> '_Connection':
         self.connects += 1
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -2,6 +2,7 @@
 
 import random
 
+import anyio
 import testtools
 
 from apricotlanding import addresses
@@ -10,6 +11,7 @@
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import health
+from apricotlandingd.gateway import mesh
 from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import quotas
 from apricotlandingd.gateway import records
@@ -17,6 +19,7 @@
 from apricotlandingd.gateway import secondsends
 from apricotlandingd.gateway import streams
 from apricotlandingd.gateway import waiting
+from apricotstandins import processes
 
 POOL = ids.Pool('pool')
 FESTIN = catalogue.Organisation(
@@ -454,3 +457,26 @@
         self.apply(5, b'x')
         self.apply(2, b'y')
         self.assertEqual(6, self.board.positions[dialect.RUNNERS])
+
+
+class TestMesh(testtools.TestCase):
+    """States of hosts."""
+
+    def test_two_senders_do_not_meet_on_one_socket(self) -> None:
+        # A host fell silent for its peers. It looked for a host that is
+        # down while it told the others its state: the socket takes one
+        # sender at a time, and the second one ended the task.
+        address = addresses.Address('127.0.0.1', processes.find_port())
+        found = mesh.Mesh(ids.Host('h'), address, (), random.Random(1))
+
+        async def send() -> None:
+            async with (
+                await anyio.create_udp_socket(
+                    local_host=address.host, local_port=address.port
+                ) as socket,
+                anyio.create_task_group() as group,
+            ):
+                for _ in range(20):
+                    group.start_soon(found._send, socket, b'x', address)
+
+        anyio.run(send)
