Leave dead runners alone, and silent ones only for a better place

A stream that broke off late was cut, because its wait was judged like that of a new request. Ruled out: overfilled runners (nothing was rejected for being full). Change: a runner that takes no connection is closed for 0.5 s, doubled up to 4 s; one whose address is another's now is closed for good; the mean hold is learned from whole runs; a silent runner is left only if another has a place and the budget allows; a resumed stream may wait until its limit; a stopping process ends after 94% of its grace (two were killed at 97%).

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -19,6 +19,7 @@
 import contextlib
 import dataclasses
 import enum
+import math
 import random
 import typing as ty
 
@@ -29,6 +30,7 @@
 from apricotlanding import clocks
 from apricotlanding import errors
 from apricotlanding import ids
+from apricotlanding import taskgroups
 from apricotlanding import webclient
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
@@ -55,6 +57,9 @@
 # this many times the expected time, and not before this many seconds.
 SILENCE_FACTOR = 4.0
 SILENCE_AT_LEAST = 0.6
+# Nor before this many times the objective: the engines' batches are busiest
+# when all first events are slow, and leaving then only adds to the load.
+SILENCE_OBJECTIVES = 1.5
 # A stream leaves a runner after this many times the pause that callers want.
 GAP_FACTOR = 3.0
 GAP_AT_LEAST = 0.8
@@ -141,6 +146,7 @@
         # Runners that bytes of this request went to.
         self._sends = 0
         self._may_have_run = False
+        self._has_second_send = False
         self._tried: set[ids.Runner] = set()
         self._is_answer_begun = False
         # A failure that a runner answered, for when no other does better.
@@ -227,10 +233,9 @@
     # Serving.
 
     async def _serve_until_gone(self) -> None:
-        async with anyio.create_task_group() as group:
+        async with taskgroups.open_group() as group:
             group.start_soon(self._watch_caller, group.cancel_scope)
             await self._serve_in_time()
-            group.cancel_scope.cancel()
 
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
         # A caller that leaves must not keep a runner at work: leaving the
@@ -280,9 +285,7 @@
         if self._sends == 0:
             # Nothing has reached a runner: no second send.
             return True
-        return self._parts.second_sends.take(
-            self._service, self._parts.count_hosts(), now
-        )
+        return self._take_second_send(now)
 
     async def _give_up(self, problem: errors.Problem) -> None:
         # The last word when no runner answers: the failure that a runner
@@ -314,7 +317,7 @@
             # The caller left, or its time is over.
             decision = ticket.decision
             if isinstance(decision, waiting.Grant):
-                self._release(decision.runner, clocks.read_monotonic(), 0.0)
+                self._release(decision.runner)
             raise
         finally:
             self._parts.scheduler.leave(ticket)
@@ -363,7 +366,7 @@
         return self._arrived_at - (usual - given)
 
     def _find_useful_end(self) -> float:
-        if not self._route.is_stream:
+        if not self._route.is_stream or self._is_answer_begun:
             return self._limit_at
         patience = max(
             PATIENCE,
@@ -384,13 +387,17 @@
             if entry is None:
                 self._detail = 'the runner has left'
                 return _End.NOT_RUN
-            return await self._send_to(entry, began_at)
+            end = await self._send_to(entry, began_at)
+            if end is _End.DONE:
+                held = clocks.read_monotonic() - began_at
+                self._parts.scheduler.note_hold(self._service, held)
+            return end
         finally:
-            now = clocks.read_monotonic()
-            self._release(runner, now, now - began_at)
+            self._release(runner)
 
-    def _release(self, runner: ids.Runner, now: float, held_s: float) -> None:
-        self._parts.scheduler.release(self._service, runner, held_s, now)
+    def _release(self, runner: ids.Runner) -> None:
+        now = clocks.read_monotonic()
+        self._parts.scheduler.release(self._service, runner, now)
         self._parts.on_change()
 
     async def _send_to(
@@ -467,15 +474,51 @@
         self, entry: dialect.RunnerEntry
     ) -> collections.abc.AsyncIterator['_Guard']:
         guard = _Guard()
-        if self._can_leave():
-            found = self._parts.paces.find(self._service, entry.id)
-            first = found.find_first(self._head.prompt_tokens)
-            guard.extend(max(SILENCE_AT_LEAST, SILENCE_FACTOR * first))
-        with guard.scope:
+        if not self._can_leave():
             yield guard
+            return
+        found = self._parts.paces.find(self._service, entry.id)
+        first = found.find_first(self._head.prompt_tokens)
+        guard.extend(
+            max(
+                SILENCE_AT_LEAST,
+                SILENCE_OBJECTIVES * self._route.objective_s,
+                SILENCE_FACTOR * first,
+            )
+        )
+        async with taskgroups.open_group() as group:
+            group.start_soon(self._watch_silence, guard)
+            with guard.scope:
+                yield guard
         if guard.scope.cancelled_caught:
             raise _Silent('the runner fell silent')
 
+    async def _watch_silence(self, guard: '_Guard') -> None:
+        # A silent runner may still answer. It is left only if another one
+        # may be asked: else a late answer would be thrown away for nothing.
+        while True:
+            await anyio.sleep_until(guard.ends_at)
+            if anyio.current_time() < guard.ends_at:
+                continue
+            now = clocks.read_monotonic()
+            has_other = self._parts.scheduler.has_place(
+                self._service, self._tried, now
+            )
+            if has_other and self._take_second_send(now):
+                self._has_second_send = True
+                guard.scope.cancel()
+                return
+            guard.extend(SILENCE_AT_LEAST)
+
+    def _take_second_send(self, now: float) -> bool:
+        if self._has_second_send:
+            # Taken when the runner was left for its silence.
+            self._has_second_send = False
+            return True
+        return self._parts.second_sends.take(
+            self._service, self._parts.count_hosts(), now
+        )
+
     def _can_leave(self) -> bool:
         return (
             self._route.is_repeatable() and self._sends < self._route.max_sends
@@ -503,8 +546,10 @@
             self._may_have_run = had_run
             self._detail = f'status {head.status}'
             if head.is_other_runner:
-                # The address belongs to another runner now.
+                # The address belongs to another runner now: this is no send,
+                # and the registration that led here is out of date.
                 self._sends -= 1
+                self._parts.health.note_gone(entry.id)
             await _read_rest(answer)
             return _End.NOT_RUN
         if not head.is_sealed:
@@ -711,9 +756,11 @@
 
     def __init__(self) -> None:
         self.scope = anyio.CancelScope()
+        # On the clock of the event loop.
+        self.ends_at = math.inf
 
     def extend(self, seconds: float) -> None:
-        self.scope.deadline = anyio.current_time() + seconds
+        self.ends_at = anyio.current_time() + seconds
 
 
 def _find_target(scope: asgi.Scope) -> str:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -63,7 +63,7 @@
 STOP_QUIET = 0.15
 # Part of the grace after which a stopping process ends although requests
 # are open: they would be cut by the kill that follows.
-STOP_PART = 0.97
+STOP_PART = 0.94
 # Hosts that follow the store themselves; the others hear from them. More
 # than enough for a store that turns a third of the hosts away.
 READERS = 8
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/health.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/health.py
@@ -21,8 +21,12 @@
 AVOID_RATE = 0.45
 # Seconds for which a runner is avoided before one request tries it again.
 AVOID_TIME = 1.0
-# Seconds for which a runner that takes no connection is avoided.
-UNREACHABLE_TIME = 1.0
+# Seconds for which a runner that takes no connection gets nothing, doubled
+# with each failure up to the longest. A registration outlives its runner by
+# some three heartbeats; without this each request in that time tries the
+# runner first, because a dead one always has free places.
+CLOSE_TIME = 0.5
+LONGEST_CLOSE = 4.0
 
 
 @ty.final
@@ -30,6 +34,11 @@
 class _Record:
     rate: float = 0.0
     avoid_until: float = 0.0
+    closed_until: float = 0.0
+    # Connections in a row that could not be made.
+    misses: int = 0
+    # Another runner has its address: it will not come back.
+    is_gone: bool = False
 
 
 @ty.final
@@ -44,6 +53,7 @@
         """Count an answer as it should be."""
         record = self._find(runner)
         record.rate *= 1 - NEWEST_WEIGHT
+        record.misses = 0
 
     def note_failure(self, runner: ids.Runner, now: float) -> None:
         """Count an error, a broken answer or none."""
@@ -56,7 +66,20 @@
         """Count a connection that could not be made."""
         record = self._find(runner)
         record.rate += (1 - record.rate) * NEWEST_WEIGHT
-        record.avoid_until = now + UNREACHABLE_TIME
+        closed = min(LONGEST_CLOSE, CLOSE_TIME * 2**record.misses)
+        record.closed_until = now + closed
+        record.misses += 1
+
+    def note_gone(self, runner: ids.Runner) -> None:
+        """Say that another runner has this one's address."""
+        self._find(runner).is_gone = True
+
+    def is_closed(self, runner: ids.Runner, now: float) -> bool:
+        """Tell whether a runner should get nothing at all."""
+        record = self._records.get(runner)
+        if record is None:
+            return False
+        return record.is_gone or now < record.closed_until
 
     def list_avoided(
         self, runners: list[ids.Runner], now: float
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runnerclient.py
@@ -24,6 +24,7 @@
 from apricotlanding import addresses
 from apricotlanding import clocks
 from apricotlanding import sockets
+from apricotlanding import taskgroups
 from apricotlanding import webclient
 from apricotlandingd.gateway import dialect
 
@@ -116,14 +117,10 @@
         connection = await self._take_connection(call.is_repeatable)
         answer: Answer | None = None
         try:
-            async with anyio.create_task_group() as group:
+            async with taskgroups.open_group() as group:
                 await connection.send(call, group)
                 answer = Answer(connection, await connection.read_head())
                 yield answer
-                group.cancel_scope.cancel()
-        except BaseExceptionGroup as errors:
-            # The group wraps what its body raised; callers match on it.
-            raise _unwrap(errors) from None
         finally:
             self._put_back(connection, answer)
             if not connection.is_kept:
@@ -290,10 +287,3 @@
         except _BROKEN:
             # Broken already: nothing is left to close.
             return
-
-
-def _unwrap(errors: BaseExceptionGroup[BaseException]) -> BaseException:
-    error: BaseException = errors
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return error
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -109,15 +109,22 @@
             tickets.remove(ticket)
 
     def release(
-        self, service: ids.Pool, runner: ids.Runner, held_s: float, now: float
+        self, service: ids.Pool, runner: ids.Runner, now: float
     ) -> None:
-        """Give a place back after ``held_s`` seconds."""
+        """Give a place back."""
         self.running[runner] -= 1
         if self.running[runner] <= 0:
             del self.running[runner]
+        self.pump_service(service, now)
+
+    def note_hold(self, service: ids.Pool, held_s: float) -> None:
+        """Learn how long a request held its place.
+
+        Only for those that ran to their end: a runner that refuses at once
+        would make the wait of all others look short.
+        """
         before = self._holds.get(service, FIRST_HOLD)
         self._holds[service] = before + (held_s - before) * HOLD_WEIGHT
-        self.pump_service(service, now)
 
     def note_load(
         self, runner: ids.Runner, load: tuple[int, int], now: float
@@ -134,6 +141,15 @@
         if len(self._parts) > PARTS:
             self._parts.popitem(last=False)
 
+    def has_place(
+        self, service: ids.Pool, tried: set[ids.Runner], now: float
+    ) -> bool:
+        """Tell whether a runner that was not tried has a free place."""
+        return any(
+            entry.id not in tried and self._count_free(entry, now) > 0
+            for entry in self._list_usable(service, now)
+        )
+
     # What peers are told.
 
     def list_waiting(self, now: float) -> dict[ids.Pool, list[waiting.Rank]]:
@@ -157,11 +173,20 @@
         if not tickets:
             return
         tickets.sort(key=lambda ticket: ticket.find_rank(now))
-        entries = self._runners.list_open(service)
+        entries = self._list_usable(service, now)
         free = {entry.id: self._count_free(entry, now) for entry in entries}
         self._grant(service, tickets, entries, free, now)
         self._refuse(service, tickets, entries, free, now)
 
+    def _list_usable(
+        self, service: ids.Pool, now: float
+    ) -> list[dialect.RunnerEntry]:
+        return [
+            entry
+            for entry in self._runners.list_open(service)
+            if not self._health.is_closed(entry.id, now)
+        ]
+
     def _grant(
         self,
         service: ids.Pool,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -116,7 +116,7 @@
     def release(self, ticket: waiting.Ticket, now: float) -> None:
         grant = ticket.decision
         assert isinstance(grant, waiting.Grant)
-        self.scheduler.release(POOL, grant.runner, 1.0, now)
+        self.scheduler.release(POOL, grant.runner, now)
 
     def test_free_place_is_granted_at_once(self) -> None:
         for ticket in self.fill():
@@ -220,6 +220,12 @@
             assert isinstance(grant, waiting.Grant)
             self.assertEqual('r2', grant.runner)
 
+    def test_closed_runner_gets_nothing_though_it_is_free(self) -> None:
+        self.health.note_unreachable(ids.Runner('r1'), 0.0)
+        granted = [self.enter(0.1).decision for _ in range(4)]
+        count = sum(isinstance(item, waiting.Grant) for item in granted)
+        self.assertEqual(2, count)
+
     def test_faster_runner_is_taken_first(self) -> None:
         for _ in range(5):
             self.paces.note_first(POOL, ids.Runner('r1'), 100, 0.5)
@@ -350,6 +356,20 @@
         self.note('r1', 3)
         self.assertEqual(set(), self.health.list_avoided(self.names, 1.1))
 
+    def test_dead_runner_gets_nothing_for_a_while(self) -> None:
+        # Under overload every request tried a crashed runner first: a dead
+        # one always has free places, and its registration outlives it.
+        runner = ids.Runner('r1')
+        self.health.note_unreachable(runner, 0.0)
+        self.assertTrue(self.health.is_closed(runner, 0.4))
+        self.assertFalse(self.health.is_closed(runner, 0.6))
+        self.health.note_unreachable(runner, 0.6)
+        self.assertTrue(self.health.is_closed(runner, 1.5))
+
+    def test_runner_that_was_replaced_stays_closed(self) -> None:
+        self.health.note_gone(ids.Runner('r1'))
+        self.assertTrue(self.health.is_closed(ids.Runner('r1'), 99.0))
+
     def test_nobody_is_avoided_if_all_fail_alike(self) -> None:
         for name in self.names:
             self.note(name, 3)
