Let a caller wait for one objective at most

Change: a request, also one that has come back, waits until its own objective could no longer be met, and is refused as soon as that is predicted; one that a runner had already gets all its time. The log line of a request says its service, tokens and wait. Callers are told at once instead of after a second.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -66,13 +66,9 @@
 # Seconds after which callers whose request met no configuration or no
 # runner should come back.
 SOON = 0.5
-# Callers leave a stream whose first event does not come for two seconds, four
-# times the objective, or eight times the pause that they want. Only this part
-# of the longest of these is used for waiting.
-PATIENCE = 2.0
-PATIENCE_OBJECTIVES = 4.0
-PATIENCE_GAPS = 8.0
-PATIENCE_PART = 0.85
+# Objectives for which a request may wait. What waits for longer is late for
+# its caller and in the way of those that are not.
+PATIENCE_OBJECTIVES = 1.0
 # A caller with less of its time left than this part of what callers of its
 # route have is one that comes back after a refusal.
 RETURN_PART = 0.97
@@ -153,6 +149,8 @@
         self._fallback: tuple[dialect.AnswerHead, bytes] | None = None
         self._reader: streams.EventReader | None = None
         self._first_at: float | None = None
+        # Seconds spent waiting for places.
+        self._waited_s = 0.0
         self._runner: ids.Runner | None = None
         self._outcome = 'gone'
         self._detail = ''
@@ -321,6 +319,7 @@
             raise
         finally:
             self._parts.scheduler.leave(ticket)
+            self._waited_s += clocks.read_monotonic() - now
         assert ticket.decision is not None
         return ticket.decision
 
@@ -329,6 +328,8 @@
         usual = self._parts.paces.find_usual(self._service)
         first = usual.find_first(head.prompt_tokens)
         began = self._find_beginning()
+        on_time_by = began + route.objective_s - first
+        useful_until = self._find_useful_end() - first
         tier = route.tier
         if self._organisation is not None:
             if self._organisation.tier is not None:
@@ -343,8 +344,8 @@
             tier=tier,
             route_tier=route.tier,
             arrived_at=now,
-            on_time_by=began + route.objective_s - first,
-            useful_until=self._find_useful_end() - first,
+            on_time_by=on_time_by,
+            useful_until=useful_until,
             ends_at=ends_at,
             prompt_tokens=head.prompt_tokens,
             output_tokens=head.output_tokens,
@@ -366,14 +367,14 @@
         return self._arrived_at - (usual - given)
 
     def _find_useful_end(self) -> float:
-        if not self._route.is_stream or self._is_answer_begun:
+        if self._sends:
+            # It was offered in time; now any answer is better than none.
             return self._limit_at
-        patience = max(
-            PATIENCE,
-            PATIENCE_OBJECTIVES * self._route.objective_s,
-            PATIENCE_GAPS * self._route.gap_objective_s,
-        )
-        return min(self._limit_at, self._arrived_at + patience * PATIENCE_PART)
+        # Told at once, a caller can come back when there is room. One that
+        # is held beyond its objective has lost that, and the time as well.
+        # The same holds for one that has come back.
+        patience = self._route.objective_s * PATIENCE_OBJECTIVES
+        return min(self._limit_at, self._arrived_at + patience)
 
     # Sending.
 
@@ -723,6 +724,10 @@
         await asgi.start_answer(self._send, problem.status, headers)
         await asgi.send_part(self._send, body, is_last=True)
 
+    def _find_service_name(self) -> ids.Pool | None:
+        # A request that was refused early has no service yet.
+        return getattr(self, '_service', None)
+
     def _finish(self, now: float) -> None:
         head = self._head
         took = now - self._arrived_at
@@ -743,6 +748,10 @@
             else self._organisation.name,
             runner=self._runner,
             sends=self._sends,
+            service=self._find_service_name(),
+            tokens=[head.prompt_tokens, head.output_tokens],
+            given_s=head.deadline_s,
+            waited_s=round(self._waited_s, 4),
             outcome=self._outcome,
             detail=self._detail,
             first_s=first,
