Start allowances empty, so that restarted hosts give no second burst

Change: buckets fill from the start of the process; what a restarted peer states first is taken out. Tests: a restarted host hands out nothing at once; use of a restarted peer counts; both fail on the code before.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -146,7 +146,9 @@
         self._measures = measures.Measures()
         self._paces = pace.Paces()
         self._health = health.Health()
-        self._quotas = quotas.Quotas(bounds.quota_slack)
+        self._quotas = quotas.Quotas(
+            bounds.quota_slack, clocks.read_monotonic()
+        )
         self._scheduler = scheduler.Scheduler(
             self._directory,
             self._paces,
@@ -389,7 +391,7 @@
         )
 
     def _take_state(self, state: messages.HostState, now: float) -> None:
-        self._quotas.hear(state.incarnation, state.usage)
+        self._quotas.hear(state.incarnation, state.usage, now)
         if records.is_ahead(state.positions, self._board.positions):
             self._peer_ahead.set()
         self._scheduler.pump(now)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
@@ -25,6 +25,9 @@
 # hosts may overrun by what they hand out before they hear of each other,
 # which is the rest of the slack.
 SLACK_SHARE = 0.25
+# Seconds after the start of a process in which peers that are heard for the
+# first time are those that ran before it, whose totals are of the past.
+YOUNG = 3.0
 # Units handed out since the start of a process, by organisation.
 Usage = dict[ids.Organisation, float]
 # Shortest time after which a refused caller is asked to come back, seconds.
@@ -43,8 +46,15 @@
 class Quotas:
     """The buckets of all organisations, as this host knows them."""
 
-    def __init__(self, slack_units: float) -> None:
-        """Start with full buckets; ``slack_units`` is the operators' slack."""
+    def __init__(self, slack_units: float, now: float) -> None:
+        """Start with empty buckets, which fill from now on.
+
+        ``slack_units`` is the operators' slack. A process that starts does
+        not know what its predecessor and its peers have just handed out:
+        when all hosts are killed at once and start again, full buckets would
+        hand out every burst a second time.
+        """
+        self._started_at = now
         self._slack = slack_units * SLACK_SHARE
         self._buckets: dict[ids.Organisation, _Bucket] = {}
         # What this process handed out.
@@ -91,18 +101,20 @@
         if organisation.units_per_s > 0:
             self._charge(organisation.name, -cost)
 
-    def hear(self, peer: ids.Incarnation, usage: Usage) -> None:
+    def hear(self, peer: ids.Incarnation, usage: Usage, now: float) -> None:
         """Take out what a peer handed out since it was heard last."""
         before = self._heard.get(peer)
         self._heard[peer] = usage
-        if before is None:
-            # A peer that was never heard: what it handed out before is not
-            # known to fall into the present window, and is left out.
-            return
         for name, total in usage.items():
             bucket = self._buckets.get(name)
-            if bucket is not None:
+            if bucket is None:
+                continue
+            if before is not None:
                 bucket.level -= total - before.get(name, 0.0)
+            elif now - self._started_at > YOUNG:
+                # A process that has just started, or that was not heard for
+                # long: it may have handed all of this out just now.
+                bucket.level -= min(total, max(0.0, bucket.level))
 
     def forget(self, peer: ids.Incarnation) -> None:
         """Drop what is kept about a process that has ended."""
@@ -124,7 +136,7 @@
         size = self._find_size(organisation)
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            bucket = _Bucket(size * (1 - silent_share), now)
+            bucket = _Bucket(0.0, self._started_at)
             self._buckets[organisation.name] = bucket
         rate = organisation.units_per_s * (1 - silent_share)
         passed = max(0.0, now - bucket.updated_at)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -240,7 +240,8 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.quotas = quotas.Quotas(0.0)
+        # A start long enough ago for full buckets.
+        self.quotas = quotas.Quotas(0.0, -100.0)
 
     def take(self, units: float, now: float, silent: float = 0.0) -> bool:
         return self.quotas.take(FESTIN, units, silent, now) is None
@@ -262,14 +263,14 @@
     def test_use_of_a_peer_counts(self) -> None:
         self.take(0, 0.0)
         peer = ids.Incarnation('other/1')
-        self.quotas.hear(peer, {FESTIN.name: 10.0})
-        self.quotas.hear(peer, {FESTIN.name: 100.0})
+        self.quotas.hear(peer, {FESTIN.name: 0.0}, 0.0)
+        self.quotas.hear(peer, {FESTIN.name: 90.0}, 0.0)
         self.assertFalse(self.take(20, 0.0))
         self.assertTrue(self.take(10, 0.0))
 
     def test_hosts_that_hear_nobody_hand_out_the_rate_once(self) -> None:
         # Four hosts, each cut off from the three others.
-        hosts = [quotas.Quotas(0.0) for _ in range(4)]
+        hosts = [quotas.Quotas(0.0, 0.0) for _ in range(4)]
         total = 0.0
         for step in range(1000):
             for host in hosts:
@@ -277,6 +278,27 @@
                     total += 1
         self.assertLessEqual(total, FESTIN.burst_units + 10 * 100.0 + 4)
 
+    def test_restarted_hosts_do_not_hand_out_a_second_burst(self) -> None:
+        # An organisation got more in eight seconds than its allowance and
+        # all slack. Every host was killed at once while it asked for many
+        # times its allowance, and each restarted with a full bucket.
+        before = quotas.Quotas(0.0, -100.0)
+        self.assertIsNone(before.take(FESTIN, 100, 0.0, 0.0))
+        after = quotas.Quotas(0.0, 0.1)
+        self.assertIsNotNone(after.take(FESTIN, 100, 0.0, 0.2))
+
+    def test_use_of_a_restarted_peer_counts(self) -> None:
+        self.take(0, 0.0)
+        peer = ids.Incarnation('other/2')
+        self.quotas.hear(peer, {FESTIN.name: 90.0}, 0.0)
+        self.assertFalse(self.take(20, 0.0))
+
+    def test_history_of_peers_is_left_out_at_the_start(self) -> None:
+        young = quotas.Quotas(0.0, 0.0)
+        young.take(FESTIN, 0, 0.0, 1.0)
+        young.hear(ids.Incarnation('o/1'), {FESTIN.name: 1e6}, 1.0)
+        self.assertIsNone(young.take(FESTIN, 90, 0.0, 1.0))
+
     def test_units_of_a_request_that_did_not_run_come_back(self) -> None:
         self.take(100, 0.0)
         self.quotas.give_back(FESTIN, 100)
