--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -350,19 +350,9 @@
             prompt_tokens=head.prompt_tokens,
             output_tokens=head.output_tokens,
             last_part=head.prefix[-1][0] if head.prefix else '',
-            is_short=self._is_short(usual),
             tried=self._tried,
         )
 
-    def _is_short(self, usual: pace.Pace) -> bool:
-        if not self._head.has_tokens:
-            # Requests of plain services are all of a size, as far as known.
-            return False
-        hold = usual.find_whole(
-            self._head.prompt_tokens, self._head.output_tokens
-        )
-        return self._parts.scheduler.is_short(self._service, hold)
-
     def _find_given(self) -> float:
         deadline = self._head.deadline_s
         return self._route.timeout_s if deadline is None else deadline
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -367,7 +367,12 @@
     ) -> messages.HostState:
         now = clocks.read_monotonic()
         ranks = {
-            service: [rank.shift(-now) for rank in items[: mesh.RANKS]]
+            service: [
+                (tier, route_tier, is_late, on_time_by - now)
+                for tier, route_tier, is_late, on_time_by in items[
+                    : mesh.RANKS
+                ]
+            ]
             for service, items in self._scheduler.list_waiting(now).items()
         }
         return messages.HostState(
@@ -381,7 +386,7 @@
             positions=records.list_positions(self._board.positions),
             running=dict(self._scheduler.running),
             usage=self._quotas.usage,
-            ranks=ranks,
+            waiting=ranks,
             hints=hints,
         )
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
@@ -173,8 +173,11 @@
             state,
             now,
             {
-                service: [rank.shift(now) for rank in ranks]
-                for service, ranks in state.ranks.items()
+                service: [
+                    (tier, route_tier, is_late, now + on_time_in)
+                    for tier, route_tier, is_late, on_time_in in ranks
+                ]
+                for service, ranks in state.waiting.items()
             },
         )
         self._sought.pop(_parse(state.state_address), None)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -117,11 +117,6 @@
             del self.running[runner]
         self.pump_service(service, now)
 
-    def is_short(self, service: ids.Pool, hold_s: float) -> bool:
-        """Tell whether a request of this expected hold is short."""
-        mean = self._holds.get(service, FIRST_HOLD)
-        return waiting.is_short(hold_s, mean)
-
     def note_hold(self, service: ids.Pool, held_s: float) -> None:
         """Learn how long a request held its place.
 
@@ -200,41 +195,33 @@
         free: dict[ids.Runner, int],
         now: float,
     ) -> None:
-        heads = collections.deque(self._others.list_waiting(service, now))
-        total = sum(count for count in free.values() if count > 0)
-        reserved = waiting.count_reserved(_count_places(entries))
-        queue = waiting.Queue(total, reserved)
-        if self._is_yield_over(service, now):
-            heads.clear()
+        heads = self._others.list_waiting(service, now)
+        ahead = 0
+        left = sum(count for count in free.values() if count > 0)
         is_yielding = False
         for ticket in list(tickets):
             rank = ticket.find_rank(now)
-            while heads and heads[0] < rank:
-                is_yielding |= queue.take(heads.popleft().is_short)
-            if not queue.take(ticket.is_short):
-                if not queue.has_any():
-                    break
-                continue
+            while ahead < len(heads) and heads[ahead] < rank:
+                ahead += 1
+            if left <= 0:
+                break
+            if left <= ahead and not self._is_yield_over(service, now):
+                is_yielding = True
+                break
             option = self._choose(ticket, entries, free, now)
             if option is None:
                 continue
+            left -= 1
             free[option.runner] -= 1
             tickets.remove(ticket)
             self.running[option.runner] += 1
             ticket.decide(waiting.Grant(option.runner))
-        self._note_yield(service, is_yielding and bool(tickets), now)
-
-    def _note_yield(
-        self, service: ids.Pool, is_yielding: bool, now: float
-    ) -> None:
-        if is_yielding:
-            self._yielded_at.setdefault(service, now)
-        else:
+        if not is_yielding:
             self._yielded_at.pop(service, None)
 
     def _is_yield_over(self, service: ids.Pool, now: float) -> bool:
-        since = self._yielded_at.get(service)
-        return since is not None and now - since > YIELD_TIME
+        since = self._yielded_at.setdefault(service, now)
+        return now - since > YIELD_TIME
 
     def _choose(
         self,
@@ -273,29 +260,16 @@
         now: float,
     ) -> None:
         heads = self._others.list_waiting(service, now)
-        places = _count_places(entries)
+        places = sum(entry.slots for entry in entries)
         total_free = sum(count for count in free.values() if count > 0)
         hold = self._holds.get(service, FIRST_HOLD)
-        # Those that go first, on all hosts: short ones, and all.
-        short_before = before = place = 0
-        for ticket in list(tickets):
+        ahead = 0
+        for position, ticket in enumerate(list(tickets)):
             rank = ticket.find_rank(now)
-            while place < len(heads) and heads[place] < rank:
-                short_before += heads[place].is_short
-                before += 1
-                place += 1
+            while ahead < len(heads) and heads[ahead] < rank:
+                ahead += 1
+            before = position + ahead
             wait = waiting.predict_wait(before, total_free, places, hold)
-            if ticket.is_short:
-                reserved = waiting.count_reserved(places)
-                brief = waiting.predict_wait(
-                    short_before,
-                    min(total_free, reserved),
-                    reserved,
-                    hold * waiting.SHORT_PART,
-                )
-                wait = min(wait, brief)
-                short_before += 1
-            before += 1
             if not _is_hopeless(ticket, wait, places, now):
                 continue
             left = ticket.ends_at - now
@@ -309,12 +283,12 @@
                 service=service,
                 waited_s=round(now - ticket.arrived_at, 4),
                 wait_s=round(min(wait, 999.0), 4),
-                ahead=before - 1,
+                ahead=before,
                 free=total_free,
                 places=places,
                 hold_s=round(hold, 4),
             )
-            ticket.decide(waiting.Refusal(back, wait, before - 1))
+            ticket.decide(waiting.Refusal(back, wait, before))
 
     def _count_free(self, entry: dialect.RunnerEntry, now: float) -> int:
         own = self.running[entry.id]
@@ -337,10 +311,6 @@
         return int(entry.slots * silent)
 
 
-def _count_places(entries: list[dialect.RunnerEntry]) -> int:
-    return sum(entry.slots for entry in entries)
-
-
 def _is_hopeless(
     ticket: waiting.Ticket, wait_s: float, places: int, now: float
 ) -> bool:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/waiting.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/waiting.py
@@ -25,25 +25,15 @@
 
 __all__ = [
     'Grant',
-    'Queue',
     'Rank',
     'Refusal',
     'Ticket',
-    'count_reserved',
     'find_return_time',
-    'is_short',
     'predict_wait',
 ]
 
-# One place in this many of a service is left to short requests. Under
-# overload long ones of the higher tiers take every place, and callers with a
-# few tokens to generate wait for seconds of other callers' work. Four places
-# in a hundred serve sixty times as many short requests as they take from
-# long ones.
-PLACES_A_SHORT_ONE = 24
-# A request is short if it holds its place for less than this part of the
-# mean hold.
-SHORT_PART = 0.3
+# Tier, tier of the route, lateness, and when the objective runs out.
+Rank = tuple[int, int, bool, float]
 # Callers take a time to come back into account up to this share of the time
 # that they have left.
 RETURN_SHARE = 0.32
@@ -51,23 +41,6 @@
 SHORTEST_RETURN = 0.1
 
 
-class Rank(ty.NamedTuple):
-    """Place of a request in the order; the smallest goes first."""
-
-    tier: int
-    route_tier: int
-    # The objective can no longer be met.
-    is_late: bool
-    # Latest start with which the objective is met.
-    on_time_by: float
-    # Holds its place only briefly; no part of the order.
-    is_short: bool
-
-    def shift(self, seconds: float) -> 'Rank':
-        """Return the rank on a clock that is ahead by these seconds."""
-        return self._replace(on_time_by=self.on_time_by + seconds)
-
-
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
@@ -109,8 +82,6 @@
     output_tokens: int
     # Digest of the last part of the prompt; '' if there is none.
     last_part: str
-    # Holds its place only briefly; see ``SHORT_PART``.
-    is_short: bool = False
     # Runners that this request was sent to already.
     tried: set[ids.Runner] = dataclasses.field(default_factory=set)
     decision: Grant | Refusal | None = None
@@ -119,13 +90,7 @@
     def find_rank(self, now: float) -> Rank:
         """Return the place in the order; the smallest goes first."""
         is_late = now > self.on_time_by
-        return Rank(
-            self.tier,
-            self.route_tier,
-            is_late,
-            self.on_time_by,
-            self.is_short,
-        )
+        return (self.tier, self.route_tier, is_late, self.on_time_by)
 
     def decide(self, decision: Grant | Refusal) -> None:
         """Set the decision and wake the request."""
@@ -133,44 +98,6 @@
         self.decided.set()
 
 
-def count_reserved(places: int) -> int:
-    """Return how many of a service's places only short requests get."""
-    return places // PLACES_A_SHORT_ONE
-
-
-def is_short(hold_s: float, mean_hold_s: float) -> bool:
-    """Tell whether a request of this expected hold is short."""
-    return hold_s < SHORT_PART * mean_hold_s
-
-
-@ty.final
-class Queue:
-    """How far the free places reach, request by request in rank order.
-
-    Counts the requests of all hosts as they are passed: each takes a place
-    of its kind, if there is one.
-    """
-
-    def __init__(self, free: int, reserved: int) -> None:
-        """Start with the free places, some reserved for short requests."""
-        self._short = min(free, reserved)
-        self._any = free - self._short
-
-    def take(self, is_short: bool) -> bool:
-        """Take a place; False if there is none for such a request."""
-        if self._any > 0:
-            self._any -= 1
-            return True
-        if is_short and self._short > 0:
-            self._short -= 1
-            return True
-        return False
-
-    def has_any(self) -> bool:
-        """Tell whether any place is left."""
-        return self._any + self._short > 0
-
-
 def predict_wait(ahead: int, free: int, places: int, hold_s: float) -> float:
     """Return the expected seconds until a place.
 
