Count a peer's use also after a quiet time; start allowances half full

Change: a bucket knows its rate and is refilled before a peer's use counts; buckets start half full. Ranks are a type of their own. Tests: use of a peer after a quiet time, second burst; failing before.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -367,12 +367,7 @@
     ) -> messages.HostState:
         now = clocks.read_monotonic()
         ranks = {
-            service: [
-                (tier, route_tier, is_late, on_time_by - now)
-                for tier, route_tier, is_late, on_time_by in items[
-                    : mesh.RANKS
-                ]
-            ]
+            service: [rank.shift(-now) for rank in items[: mesh.RANKS]]
             for service, items in self._scheduler.list_waiting(now).items()
         }
         return messages.HostState(
@@ -386,7 +381,7 @@
             positions=records.list_positions(self._board.positions),
             running=dict(self._scheduler.running),
             usage=self._quotas.usage,
-            waiting=ranks,
+            ranks=ranks,
             hints=hints,
         )
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
@@ -173,11 +173,8 @@
             state,
             now,
             {
-                service: [
-                    (tier, route_tier, is_late, now + on_time_in)
-                    for tier, route_tier, is_late, on_time_in in ranks
-                ]
-                for service, ranks in state.waiting.items()
+                service: [rank.shift(now) for rank in ranks]
+                for service, ranks in state.ranks.items()
             },
         )
         self._sought.pop(_parse(state.state_address), None)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/messages.py
@@ -11,6 +11,7 @@
 
 from apricotlanding import codec
 from apricotlanding import ids
+from apricotlandingd.gateway import waiting
 
 __all__ = [
     'HostState',
@@ -45,9 +46,9 @@
     running: dict[ids.Runner, int]
     # Units handed out since the start, by organisation.
     usage: dict[ids.Organisation, float]
-    # The first of those that wait, by service: tier, tier of the route,
-    # lateness, seconds from the sending of this until the objective is lost.
-    waiting: dict[ids.Pool, list[tuple[int, int, bool, float]]]
+    # The first of those that wait, by service; their times count from the
+    # sending of this.
+    ranks: dict[ids.Pool, list[waiting.Rank]]
     # Some other hosts, and where they take these messages.
     hints: dict[ids.Host, str]
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
@@ -25,6 +25,10 @@
 # hosts may overrun by what they hand out before they hear of each other,
 # which is the rest of the slack.
 SLACK_SHARE = 0.25
+# Part of a bucket that is full at the start of a process. Operators allow a
+# tenth of the burst and a slack beyond the allowance; two halves of a burst
+# within a window stay below that, two whole ones do not.
+FIRST_PART = 0.5
 # Seconds after the start of a process in which peers that are heard for the
 # first time are those that ran before it, whose totals are of the past.
 YOUNG = 3.0
@@ -40,6 +44,15 @@
     # Units that may still be handed out; below zero after an overrun.
     level: float
     updated_at: float
+    # Most that it holds, and what it gains a second.
+    size: float = 0.0
+    rate: float = 0.0
+
+    def refill(self, now: float) -> None:
+        passed = max(0.0, now - self.updated_at)
+        # A new version may have lowered the size: what is above is lost.
+        self.level = min(self.size, self.level + passed * self.rate)
+        self.updated_at = now
 
 
 @ty.final
@@ -47,12 +60,13 @@
     """The buckets of all organisations, as this host knows them."""
 
     def __init__(self, slack_units: float, now: float) -> None:
-        """Start with empty buckets, which fill from now on.
+        """Start with buckets that are half full, and fill from now on.
 
         ``slack_units`` is the operators' slack. A process that starts does
         not know what its predecessor and its peers have just handed out:
         when all hosts are killed at once and start again, full buckets would
-        hand out every burst a second time.
+        hand out every burst a second time. Empty ones would refuse callers
+        that ask for what they always do.
         """
         self._started_at = now
         self._slack = slack_units * SLACK_SHARE
@@ -109,6 +123,10 @@
             bucket = self._buckets.get(name)
             if bucket is None:
                 continue
+            # Filled up to now first: a bucket that nobody here has asked for
+            # a while would else be filled after the peer's use is taken out,
+            # and that use would be lost.
+            bucket.refill(now)
             if before is not None:
                 bucket.level -= total - before.get(name, 0.0)
             elif now - self._started_at > YOUNG:
@@ -136,11 +154,9 @@
         size = self._find_size(organisation)
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            bucket = _Bucket(0.0, self._started_at)
+            bucket = _Bucket(size * FIRST_PART, self._started_at)
             self._buckets[organisation.name] = bucket
-        rate = organisation.units_per_s * (1 - silent_share)
-        passed = max(0.0, now - bucket.updated_at)
-        # A new version may have lowered the size: what is above is lost.
-        bucket.level = min(size, bucket.level + passed * rate)
-        bucket.updated_at = now
+        bucket.size = size
+        bucket.rate = organisation.units_per_s * (1 - silent_share)
+        bucket.refill(now)
         return bucket
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/waiting.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/waiting.py
@@ -32,8 +32,6 @@
     'predict_wait',
 ]
 
-# Tier, tier of the route, lateness, and when the objective runs out.
-Rank = tuple[int, int, bool, float]
 # Callers take a time to come back into account up to this share of the time
 # that they have left.
 RETURN_SHARE = 0.32
@@ -41,6 +39,21 @@
 SHORTEST_RETURN = 0.1
 
 
+class Rank(ty.NamedTuple):
+    """Place of a request in the order; the smallest goes first."""
+
+    tier: int
+    route_tier: int
+    # The objective can no longer be met.
+    is_late: bool
+    # Latest start with which the objective is met.
+    on_time_by: float
+
+    def shift(self, seconds: float) -> 'Rank':
+        """Return the rank on a clock that is ahead by these seconds."""
+        return self._replace(on_time_by=self.on_time_by + seconds)
+
+
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Grant:
@@ -90,7 +103,7 @@
     def find_rank(self, now: float) -> Rank:
         """Return the place in the order; the smallest goes first."""
         is_late = now > self.on_time_by
-        return (self.tier, self.route_tier, is_late, self.on_time_by)
+        return Rank(self.tier, self.route_tier, is_late, self.on_time_by)
 
     def decide(self, decision: Grant | Refusal) -> None:
         """Set the decision and wake the request."""
