Predict the length of an answer by the caller's expectation

Cause: the stated maximum of tokens is one figure for all requests of a route (3,840 and 2,940), so times to the end were not predicted at all. Change: the caller's expectation (Length-Hint) and the tokens in an event give the expected events, the route's mean stands in; speeds are learned for each event.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/catalogue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/catalogue.py
@@ -92,6 +92,8 @@
     name: ids.Pool
     # Most connections that one runner takes from all hosts together.
     max_connections: int
+    # Tokens in one event of a stream.
+    event_tokens: float = 1.0
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -49,6 +49,9 @@
     # Tokens of the prompt, and the most that may be generated.
     prompt_tokens: int
     output_tokens: int
+    # Tokens that the caller expects to be generated: right in the median,
+    # often far off. None if it does not say.
+    expected_tokens: int | None
     # The tokens were stated by the caller.
     has_tokens: bool
     # Parts of the prompt in order: digest and tokens.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -73,6 +73,10 @@
 # route have is one that comes back after a refusal.
 RETURN_PART = 0.97
 FAILED_STATUS = 500
+# Events of an answer, before the first answer of a route has ended, and the
+# weight of the newest answer in the mean.
+FIRST_EVENTS = 50.0
+EVENTS_WEIGHT = 0.05
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -111,6 +115,8 @@
     on_change: collections.abc.Callable[[], None]
     # Longest time that callers of a route have given, by route.
     usual_limits: dict[ids.Route, float]
+    # Mean number of events in an answer, by route.
+    usual_events: dict[ids.Route, float]
 
 
 @ty.final
@@ -138,6 +144,7 @@
         self._service: ids.Pool
         self._organisation: catalogue.Organisation | None = None
         self._cost = 0.0
+        self._event_tokens = 1.0
         self._limit_at = 0.0
         # Runners that bytes of this request went to.
         self._sends = 0
@@ -189,6 +196,9 @@
             )
         self._route = route
         self._service = route.find_service(head.attempt)
+        service = config.services.get(self._service)
+        if service is not None:
+            self._event_tokens = service.event_tokens
         holder = config.holders.get(head.key or '')
         if holder is None and not route.is_public:
             return errors.make_problem(errors.Kind.UNKNOWN_KEY)
@@ -348,11 +358,20 @@
             useful_until=useful_until,
             ends_at=ends_at,
             prompt_tokens=head.prompt_tokens,
-            output_tokens=head.output_tokens,
+            events=self._predict_events(),
             last_part=head.prefix[-1][0] if head.prefix else '',
             tried=self._tried,
         )
 
+    def _predict_events(self) -> float:
+        # The stated maximum says nothing: it is the same for all requests of
+        # a route. The caller's expectation is right in the median.
+        expected = self._head.expected_tokens
+        usual = self._parts.usual_events.get(self._route.name, FIRST_EVENTS)
+        if expected is None:
+            return usual
+        return expected / self._event_tokens
+
     def _find_given(self) -> float:
         deadline = self._head.deadline_s
         return self._route.timeout_s if deadline is None else deadline
@@ -674,8 +693,10 @@
         if first_at is None or events < 2:
             return
         rest = clocks.read_monotonic() - first_at
-        self._parts.paces.note_rest(
-            self._service, entry.id, self._head.output_tokens, rest
+        self._parts.paces.note_rest(self._service, entry.id, events, rest)
+        usual = self._parts.usual_events.get(self._route.name, FIRST_EVENTS)
+        self._parts.usual_events[self._route.name] = (
+            usual + (events - usual) * EVENTS_WEIGHT
         )
 
     async def _start(
@@ -749,7 +770,7 @@
             runner=self._runner,
             sends=self._sends,
             service=self._find_service_name(),
-            tokens=[head.prompt_tokens, head.output_tokens],
+            tokens=[head.prompt_tokens, head.expected_tokens],
             given_s=head.deadline_s,
             waited_s=round(self._waited_s, 4),
             outcome=self._outcome,
@@ -780,7 +801,9 @@
 
 
 def _make_nameless_head() -> dialect.RequestHead:
-    return dialect.RequestHead('', '', None, None, 0, 0, False, (), '', ())
+    return dialect.RequestHead(
+        '', '', None, None, 0, 0, None, False, (), '', ()
+    )
 
 
 async def _read_rest(answer: runnerclient.Answer) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -177,6 +177,7 @@
             is_stopping=lambda: self._is_stopping,
             on_change=self._mesh.tell,
             usual_limits={},
+            usual_events={},
         )
         self._listener = listener.Listener(
             parts,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/pace.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/pace.py
@@ -18,12 +18,14 @@
 # Weight of the newest answer: a runner that turns slow shows after three.
 NEWEST_WEIGHT = 0.3
 # First guesses, before any answer: seconds to the first event of an empty
-# prompt, for each prompt token, and for each token generated. They are what
+# prompt, for each prompt token, and for each event. They are what
 # a model engine of the present generation takes, and only order of
 # magnitude matters: two answers replace them.
 FIRST_START = 0.05
 FIRST_READ = 1.5e-5
-FIRST_WRITE = 0.005
+FIRST_WRITE = 0.02
+# Answers of fewer events say little about the time between two.
+FEW_EVENTS = 5
 # Seconds that a request of a plain service takes, before any answer.
 FIRST_WORK = 0.1
 
@@ -37,7 +39,7 @@
     start_s: float = FIRST_START
     # Seconds for each prompt token read.
     read_s: float = FIRST_READ
-    # Seconds for each token generated.
+    # Seconds for each event of the answer.
     write_s: float = FIRST_WRITE
     answers: int = 0
 
@@ -45,10 +47,9 @@
         """Return the expected seconds to the first event."""
         return self.start_s + self.read_s * prompt_tokens
 
-    def find_whole(self, prompt_tokens: int, output_tokens: int) -> float:
+    def find_whole(self, prompt_tokens: int, events: float) -> float:
         """Return the expected seconds to the end of the answer."""
-        first = self.find_first(prompt_tokens)
-        return first + self.write_s * output_tokens
+        return self.find_first(prompt_tokens) + self.write_s * events
 
 
 @ty.final
@@ -80,14 +81,14 @@
         self,
         service: ids.Pool,
         runner: ids.Runner,
-        output_tokens: int,
+        events: int,
         seconds: float,
     ) -> None:
-        """Learn from the time between first and last event."""
-        if output_tokens <= 0:
+        """Learn from the time from the first event to the last."""
+        if events < FEW_EVENTS:
             return
         pace = self._open(service, runner)
-        pace.write_s = _blend(pace.write_s, seconds / output_tokens)
+        pace.write_s = _blend(pace.write_s, seconds / (events - 1))
 
     def find(self, service: ids.Pool, runner: ids.Runner) -> Pace:
         """Return a runner's speed, or that of the middle one."""
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/placement.py
@@ -72,7 +72,7 @@
     elif is_home:
         saved = read * HOME_PREFERENCE
     load = 1 + FULL_SLOWDOWN * option.used / option.slots
-    rest = option.pace.write_s * ticket.output_tokens
+    rest = option.pace.write_s * ticket.events
     return option.pace.start_s + read - saved + rest * load
 
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/waiting.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/waiting.py
@@ -92,7 +92,8 @@
     # When the caller's time ends.
     ends_at: float
     prompt_tokens: int
-    output_tokens: int
+    # Events that the answer is expected to have.
+    events: float
     # Digest of the last part of the prompt; '' if there is none.
     last_part: str
     # Runners that this request was sent to already.
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -104,7 +104,7 @@
             useful_until=now + 3 if useful_until is None else useful_until,
             ends_at=now + 15,
             prompt_tokens=100,
-            output_tokens=10,
+            events=10,
             last_part='',
         )
         self.scheduler.enter(ticket, now)
