--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -364,6 +364,8 @@
         )
 
     def _predict_events(self) -> float:
+        if not self._route.is_stream:
+            return 0.0
         # The stated maximum says nothing: it is the same for all requests of
         # a route. The caller's expectation is right in the median.
         expected = self._head.expected_tokens
