--- a/packages/apricotlandingd/src/apricotlandingd/gateway/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/placement.py
@@ -14,7 +14,7 @@
 from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import waiting
 
-__all__ = ['Option', 'can_finish', 'choose_runner']
+__all__ = ['Option', 'choose_runner']
 
 # A full runner generates about a quarter slower than one with a single
 # request: 4.7 against 3.8 ms a step for the engines known to us.
@@ -24,8 +24,6 @@
 # compute the same runner, so they share its cache without a message. Small
 # enough that speed and load go first.
 HOME_PREFERENCE = 0.5
-# Answers after which a runner's speed is believed.
-KNOWN_ANSWERS = 3
 
 
 @ty.final
@@ -44,14 +42,11 @@
 
 
 def choose_runner(
-    ticket: waiting.Ticket, options: list[Option], now: float
+    ticket: waiting.Ticket, options: list[Option]
 ) -> Option | None:
     """Return the best runner; None if there is no option."""
     open_options = [
-        option
-        for option in options
-        if option.runner not in ticket.tried
-        and can_finish(ticket, option.pace, now)
+        option for option in options if option.runner not in ticket.tried
     ]
     if not open_options:
         return None
@@ -69,22 +64,6 @@
     )
 
 
-def can_finish(
-    ticket: waiting.Ticket, runner_pace: pace.Pace, now: float
-) -> bool:
-    """Tell whether a runner ends an answer before its caller's time does.
-
-    The slowest runners generate a fifth of the speed of the others. A long
-    answer that begins there is cut at the caller's deadline, after it has
-    held a place for all of that time; waiting for a faster runner, or being
-    told to come back, is better.
-    """
-    if runner_pace.answers < KNOWN_ANSWERS:
-        return True
-    whole = runner_pace.find_whole(ticket.prompt_tokens, ticket.events)
-    return now + whole < ticket.ends_at
-
-
 def _predict(ticket: waiting.Ticket, option: Option, is_home: bool) -> float:
     read = option.pace.read_s * ticket.prompt_tokens
     saved = 0.0
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -245,7 +245,7 @@
             for entry in entries
             if free[entry.id] > 0
         ]
-        return placement.choose_runner(ticket, options, now)
+        return placement.choose_runner(ticket, options)
 
     def _has_part(self, part: str, runner: ids.Runner, now: float) -> bool:
         read_at = self._parts.get((part, runner))
