--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -110,7 +110,7 @@
         [dialect.RunnerEntry], runnerclient.RunnerClient
     ]
     count_hosts: collections.abc.Callable[[], int]
-    find_silent_share: collections.abc.Callable[[float], float]
+    find_silent_share: collections.abc.Callable[[], float]
     is_stopping: collections.abc.Callable[[], bool]
     on_change: collections.abc.Callable[[], None]
     # Longest time that callers of a route have given, by route.
@@ -145,6 +145,8 @@
         self._organisation: catalogue.Organisation | None = None
         self._cost = 0.0
         self._event_tokens = 1.0
+        # Of the configuration that the request was admitted under.
+        self._version: ids.Version | None = None
         self._limit_at = 0.0
         # Runners that bytes of this request went to.
         self._sends = 0
@@ -188,6 +190,7 @@
         config = self._parts.find_catalogue()
         if config is None:
             return errors.make_problem(errors.Kind.NO_CONFIGURATION, SOON)
+        self._version = config.version
         path = self._target.partition('?')[0]
         route = config.find_route(head.hostname, path)
         if route is None:
@@ -229,9 +232,18 @@
             tokens = self._head.prompt_tokens + self._head.output_tokens
         cost = self._parts.quotas.find_cost(holder, tokens)
         wait = self._parts.quotas.take(
-            holder, cost, self._parts.find_silent_share(now), now
+            holder, cost, self._parts.find_silent_share(), now
         )
         if wait is not None:
+            eliot.log_message(
+                'gateway:over_allowance',
+                attempt=self._head.attempt,
+                organisation=holder.name,
+                cost=cost,
+                wait_s=round(wait, 3),
+                silent_share=round(self._parts.find_silent_share(), 3),
+                version=self._version,
+            )
             return errors.make_problem(
                 errors.Kind.OVER_ALLOWANCE, wait, organisation=holder.name
             )
@@ -771,6 +783,7 @@
             else self._organisation.name,
             runner=self._runner,
             sends=self._sends,
+            version=self._version,
             service=self._find_service_name(),
             tokens=[head.prompt_tokens, head.expected_tokens],
             given_s=head.deadline_s,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -308,10 +308,9 @@
     def _may_read(self) -> bool:
         # The first few hosts by name that say that they reach the store, and
         # those that hear too few of these.
-        now = clocks.read_monotonic()
         before = [
             peer
-            for peer in self._mesh.list_heard(now)
+            for peer in self._mesh.list_heard()
             if peer.state.reads_store and peer.state.host < self._settings.host
         ]
         return len(before) < READERS
@@ -330,7 +329,7 @@
             self._peer_ahead = anyio.Event()
             ahead = [
                 peer
-                for peer in self._mesh.list_heard(clocks.read_monotonic())
+                for peer in self._mesh.list_heard()
                 if records.is_ahead(
                     peer.state.positions, self._board.positions
                 )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
@@ -65,10 +65,8 @@
     heard_at: float
     # Ranks of what waits there, on this host's clock.
     ranks: dict[ids.Pool, list[waiting.Rank]]
-
-    def is_silent(self, now: float) -> bool:
-        """Tell whether messages are missing."""
-        return now - self.heard_at > SILENT_AFTER
+    # Messages are missing.
+    is_silent: bool = False
 
 
 @ty.final
@@ -87,6 +85,10 @@
         self._address = address
         self._spread = spread
         self.peers: dict[ids.Host, Peer] = {}
+        # Requests of all heard peers at each runner. Kept up with each
+        # message: summing sixty peers for each of fifty runners at each
+        # decision would cost more than the decision.
+        self._running: collections.Counter[ids.Runner] = collections.Counter()
         # Addresses to try, with the tries that are left.
         self._sought: dict[addresses.Address, int] = {}
         for seed in seeds:
@@ -117,32 +119,26 @@
         """Return the number of hosts, this one included."""
         return 1 + len(self.peers)
 
-    def list_heard(self, now: float) -> list[Peer]:
+    def list_heard(self) -> list[Peer]:
         """Return the peers that are not silent."""
-        return [
-            peer for peer in self.peers.values() if not peer.is_silent(now)
-        ]
+        return [peer for peer in self.peers.values() if not peer.is_silent]
 
-    def find_silent_share(self, now: float) -> float:
+    def find_silent_share(self) -> float:
         """Return the share of all hosts that are not heard."""
         silent = sum(
-            peer.is_silent(now) and not peer.state.is_stopping
+            peer.is_silent and not peer.state.is_stopping
             for peer in self.peers.values()
         )
         return silent / self.count_hosts()
 
-    def count_running(self, runner: ids.Runner, now: float) -> int:
+    def count_running(self, runner: ids.Runner) -> int:
         """Return the requests that heard peers have at a runner."""
-        return sum(
-            peer.state.running.get(runner, 0) for peer in self.list_heard(now)
-        )
+        return self._running[runner]
 
-    def list_waiting(
-        self, service: ids.Pool, now: float
-    ) -> list[waiting.Rank]:
+    def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         """Return what waits at heard peers, sorted."""
         ranks: list[waiting.Rank] = []
-        for peer in self.list_heard(now):
+        for peer in self.list_heard():
             ranks.extend(peer.ranks.get(service, ()))
         ranks.sort()
         return ranks
@@ -165,10 +161,13 @@
         known = self.peers.get(state.host)
         if known is not None and not self._is_newer(state, known.state):
             return
-        if known is None or known.is_silent(now):
+        if known is None or known.is_silent:
             eliot.log_message('gateway:peer_heard', peer=state.host)
         if known is None:
             self._changed.set()
+        elif not known.is_silent:
+            self._running.subtract(known.state.running)
+        self._running.update(state.running)
         self.peers[state.host] = Peer(
             state,
             now,
@@ -184,12 +183,18 @@
         self.on_state(state, now)
 
     def drop_silent(self, now: float) -> None:
-        """Forget peers that were not heard for long, or that stopped."""
+        """Leave silent peers out, and forget those that stay silent."""
         for host, peer in list(self.peers.items()):
+            if not peer.is_silent and now - peer.heard_at > SILENT_AFTER:
+                peer.is_silent = True
+                self._running.subtract(peer.state.running)
+                eliot.log_message('gateway:peer_silent', peer=host)
             limit = SILENT_AFTER if peer.state.is_stopping else DROP_AFTER
             if now - peer.heard_at <= limit:
                 continue
             del self.peers[host]
+            # Drops the runners that nobody uses.
+            self._running = +self._running
             eliot.log_message('gateway:peer_dropped', peer=host)
             self.on_dropped(peer.state)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -47,15 +47,13 @@
 class Others(ty.Protocol):
     """What the scheduler asks about the other hosts."""
 
-    def count_running(self, runner: ids.Runner, now: float) -> int:
+    def count_running(self, runner: ids.Runner) -> int:
         """Return the requests that heard peers have at a runner."""
 
-    def list_waiting(
-        self, service: ids.Pool, now: float
-    ) -> list[waiting.Rank]:
+    def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         """Return what waits at heard peers, sorted."""
 
-    def find_silent_share(self, now: float) -> float:
+    def find_silent_share(self) -> float:
         """Return the share of all hosts that are not heard."""
 
 
@@ -195,7 +193,7 @@
         free: dict[ids.Runner, int],
         now: float,
     ) -> None:
-        heads = self._others.list_waiting(service, now)
+        heads = self._others.list_waiting(service)
         ahead = 0
         left = sum(count for count in free.values() if count > 0)
         is_yielding = False
@@ -259,7 +257,7 @@
         free: dict[ids.Runner, int],
         now: float,
     ) -> None:
-        heads = self._others.list_waiting(service, now)
+        heads = self._others.list_waiting(service)
         places = sum(entry.slots for entry in entries)
         total_free = sum(count for count in free.values() if count > 0)
         hold = self._holds.get(service, FIRST_HOLD)
@@ -287,13 +285,14 @@
                 free=total_free,
                 places=places,
                 hold_s=round(hold, 4),
+                silent_share=round(self._others.find_silent_share(), 3),
             )
             ticket.decide(waiting.Refusal(back, wait, before))
 
     def _count_free(self, entry: dialect.RunnerEntry, now: float) -> int:
         own = self.running[entry.id]
-        others = self._others.count_running(entry.id, now)
-        silent = self._others.find_silent_share(now)
+        others = self._others.count_running(entry.id)
+        silent = self._others.find_silent_share()
         if silent > 0:
             others = max(others, self._estimate_silent(entry, silent, now))
         return entry.slots - own - others
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -12,6 +12,7 @@
 from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import mesh
+from apricotlandingd.gateway import messages
 from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import quotas
 from apricotlandingd.gateway import records
@@ -54,15 +55,13 @@
         self.ranks: list[waiting.Rank] = []
         self.silent = 0.0
 
-    def count_running(self, runner: ids.Runner, now: float) -> int:
+    def count_running(self, runner: ids.Runner) -> int:
         return self.running.get(runner, 0)
 
-    def list_waiting(
-        self, service: ids.Pool, now: float
-    ) -> list[waiting.Rank]:
+    def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         return sorted(self.ranks)
 
-    def find_silent_share(self, now: float) -> float:
+    def find_silent_share(self) -> float:
         return self.silent
 
 
@@ -515,6 +514,58 @@
 class TestMesh(testtools.TestCase):
     """States of hosts."""
 
+    def make_state(
+        self, number: int, running: dict[str, int], incarnation: str = 'b/1'
+    ) -> messages.HostState:
+        return messages.HostState(
+            host=ids.Host('b'),
+            incarnation=ids.Incarnation(incarnation),
+            state_address='127.0.0.1:9',
+            peers_address='127.0.0.1:9',
+            number=number,
+            is_stopping=False,
+            reads_store=True,
+            positions=[1, 1],
+            running={ids.Runner(name): n for name, n in running.items()},
+            usage={},
+            ranks={},
+            hints={},
+        )
+
+    def make_mesh(self) -> mesh.Mesh:
+        address = addresses.Address('127.0.0.1', 1)
+        return mesh.Mesh(ids.Host('a'), address, (), random.Random(1))
+
+    def test_latest_state_counts(self) -> None:
+        found = self.make_mesh()
+        found.take(self.make_state(1, {'r1': 3}), 0.0)
+        found.take(self.make_state(2, {'r1': 1, 'r2': 2}), 0.1)
+        self.assertEqual(1, found.count_running(ids.Runner('r1')))
+        self.assertEqual(2, found.count_running(ids.Runner('r2')))
+
+    def test_state_that_arrives_late_is_left_out(self) -> None:
+        found = self.make_mesh()
+        found.take(self.make_state(2, {'r1': 1}), 0.0)
+        found.take(self.make_state(1, {'r1': 3}), 0.1)
+        self.assertEqual(1, found.count_running(ids.Runner('r1')))
+
+    def test_silent_peer_is_left_out_until_it_is_heard(self) -> None:
+        found = self.make_mesh()
+        found.take(self.make_state(1, {'r1': 3}), 0.0)
+        found.drop_silent(1.0)
+        self.assertEqual(0, found.count_running(ids.Runner('r1')))
+        self.assertEqual(0.5, found.find_silent_share())
+        found.take(self.make_state(2, {'r1': 2}), 1.1)
+        self.assertEqual(2, found.count_running(ids.Runner('r1')))
+        self.assertEqual(0.0, found.find_silent_share())
+
+    def test_restarted_peer_replaces_its_predecessor(self) -> None:
+        found = self.make_mesh()
+        found.take(self.make_state(9, {'r1': 3}), 0.0)
+        found.take(self.make_state(1, {'r1': 1}, 'b/2'), 0.1)
+        found.take(self.make_state(10, {'r1': 3}), 0.2)
+        self.assertEqual(1, found.count_running(ids.Runner('r1')))
+
     def test_two_senders_do_not_meet_on_one_socket(self) -> None:
         # A host fell silent for its peers. It looked for a host that is
         # down while it told the others its state: the socket takes one
