Group the daemon by concern; do not count the refused as going first

Cause: (1) apricotlandingd was one flat package of some thirty modules. (2) A request that was refused still counted as going before the next one in the same pass, so that a burst of refusals took others with it. (3) One decision summed all peers for each runner. Change: requests, pools, ownership, configuration, peering, operators and gateway are packages of their own, moved and not changed; the refused are left out; the share of silent peers is kept, not summed. A stream that ends at its deadline is no failure of its runner. Tests: one that is refused is out of the way (failing before).

--- a/Makefile
+++ b/Makefile
@@ -49,5 +49,6 @@
 .PHONY: capacity compare
 capacity: .venv/installed
 	$(BIN)/python bench/capacity.py
+	$(BIN)/python bench/gateway.py
 compare: .venv/installed
 	$(BIN)/python bench/compare.py
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -22,9 +22,9 @@
 from apricotlanding import bundle
 from apricotlanding import ids
 from apricotlanding import wire
-from apricotlandingd import claimtable
-from apricotlandingd import policies
-from apricotlandingd import poolqueue
+from apricotlandingd.ownership import claimtable
+from apricotlandingd.pools import policies
+from apricotlandingd.pools import poolqueue
 from apricotstandins import callers
 from apricotstandins import deployment
 
--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,162 @@
+"""Slopes of the gateway for docs/CAPACITY.md.
+
+Times, on this machine and alone: one request through the scheduler (entered,
+granted, released) by runners and by requests that wait; a host's state
+written, read and taken, by the number of runners that it names. Prints a
+table; each figure is the median of several rounds.
+"""
+
+import collections.abc
+import functools
+import random
+import statistics
+import time
+
+from apricotlanding import addresses
+from apricotlanding import ids
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway import directory
+from apricotlandingd.gateway import health
+from apricotlandingd.gateway import mesh
+from apricotlandingd.gateway import messages
+from apricotlandingd.gateway import pace
+from apricotlandingd.gateway import scheduler
+from apricotlandingd.gateway import waiting
+
+POOL = ids.Pool('pool')
+ROUNDS = 5
+REPEATS = 200
+SLOTS = 8
+
+
+def make_mesh(peers: int, runners: int) -> mesh.Mesh:
+    """Return a mesh that has heard from so many hosts."""
+    found = mesh.Mesh(
+        ids.Host('host-x'),
+        addresses.Address('10.0.0.1', 1),
+        (),
+        random.Random(1),
+    )
+    for number in range(peers):
+        found.take(make_state(number, 1, runners), 0.0)
+    return found
+
+
+def make_state(number: int, counter: int, runners: int) -> messages.HostState:
+    """Return the state of a host that uses so many runners."""
+    return messages.HostState(
+        host=ids.Host(f'host-{number}'),
+        incarnation=ids.Incarnation(f'host-{number}/0123456789abcdef.1.2'),
+        state_address=f'10.1.{number % 250}.{number // 250}:7600',
+        peers_address=f'10.1.{number % 250}.{number // 250}:8229',
+        number=counter,
+        is_stopping=False,
+        reads_store=True,
+        positions=[40, 400],
+        running={ids.Runner(f'i-{item:010}'): 1 for item in range(runners)},
+        usage={ids.Organisation(f'org{item}'): 1e6 for item in range(5)},
+        ranks={POOL: [waiting.Rank(0, 0, False, 0.3)] * 2},
+        hints={},
+    )
+
+
+def make_scheduler(runners: int, others: mesh.Mesh) -> scheduler.Scheduler:
+    """Return a scheduler before so many runners."""
+    known = directory.Directory(2.0)
+    for number in range(runners):
+        known.update(
+            dialect.RunnerEntry(
+                id=ids.Runner(f'i-{number:010}'),
+                service=POOL,
+                address=addresses.Address('10.2.0.1', 1),
+                domain=ids.Domain('d'),
+                slots=SLOTS,
+                is_draining=False,
+            )
+        )
+    return scheduler.Scheduler(
+        known, pace.Paces(), health.Health(), others, random.Random(1)
+    )
+
+
+def make_ticket(number: int) -> waiting.Ticket:
+    """Return a request that never gives up."""
+    return waiting.Ticket(
+        attempt=f'a-{number}',
+        service=POOL,
+        tier=ids.Tier(number % 3),
+        route_tier=ids.Tier(number % 3),
+        arrived_at=0.0,
+        on_time_by=1e6,
+        useful_until=1e9,
+        ends_at=1e9,
+        prompt_tokens=1000,
+        events=50,
+        last_part=f'{number:x}',
+    )
+
+
+def time_call(call: collections.abc.Callable[[], object]) -> float:
+    """Return the median microseconds of a call."""
+    rounds: list[float] = []
+    for _ in range(ROUNDS):
+        began = time.perf_counter()
+        for _ in range(REPEATS):
+            call()
+        rounds.append((time.perf_counter() - began) / REPEATS)
+    return statistics.median(rounds) * 1e6
+
+
+def time_scheduler(runners: int, waiting_count: int, peers: int) -> float:
+    """Return microseconds for one release and the grant that follows."""
+    found = make_scheduler(runners, make_mesh(peers, 0))
+    granted: list[ids.Runner] = []
+    for number in range(runners * SLOTS + waiting_count):
+        ticket = make_ticket(number)
+        found.enter(ticket, 0.0)
+        if isinstance(ticket.decision, waiting.Grant):
+            granted.append(ticket.decision.runner)
+    numbers = iter(range(10**9))
+
+    def step() -> None:
+        runner = granted[next(numbers) % len(granted)]
+        if found.running[runner] == 0:
+            return
+        found.release(POOL, runner, 0.0)
+        found.enter(make_ticket(next(numbers)), 0.0)
+
+    return time_call(step)
+
+
+def main() -> None:
+    """Print the table."""
+    print('| what | microseconds |')
+    print('| --- | --- |')
+    for runners, count, peers in (
+        (10, 0, 6),
+        (10, 100, 6),
+        (56, 20, 60),
+        (100, 100, 60),
+    ):
+        figure = time_scheduler(runners, count, peers)
+        print(
+            f'| one end and one grant: {runners} runners, {count} waiting,'
+            f' {peers} peers | {figure:.0f} |'
+        )
+    for runners in (2, 10, 56):
+        state = make_state(1, 1, runners)
+        data = messages.registry.encode(state)
+        write = time_call(functools.partial(messages.registry.encode, state))
+        read = time_call(functools.partial(messages.registry.decode, data))
+        print(
+            f'| state of {len(data)} bytes, {runners} runners: written /'
+            f' read | {write:.0f} / {read:.0f} |'
+        )
+    found = make_mesh(60, 10)
+    numbers = iter(range(2, 10**9))
+    take = time_call(lambda: found.take(make_state(1, next(numbers), 10), 0.0))
+    print(f'| state taken, 60 peers | {take:.0f} |')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/apricotctl/src/apricotctl/bundlefiles.py
+++ b/packages/apricotctl/src/apricotctl/bundlefiles.py
@@ -18,7 +18,7 @@
 from apricotlanding import records
 from apricotlanding import signatures
 from apricotlanding import submissions
-from apricotlandingd import policies
+from apricotlandingd.pools import policies
 
 __all__ = [
     'check_file',
--- a/packages/apricotlandingd/src/apricotlandingd/__init__.py
+++ b/packages/apricotlandingd/src/apricotlandingd/__init__.py
@@ -1,13 +1,18 @@
 """The daemon that every entry host runs.
 
-A newcomer reads ``daemon`` (the supervisor tree) first, then follows one
-request: ``entry`` takes it from its caller, ``admission`` checks it, ``runs``
-carries it through ``claims`` (who may run this key), ``poolclient`` (which
-runner has room) and ``relay`` (the call to the runner), and ``answers``
-keeps what comes back.
+Two ways to run it:
 
-What the daemons agree on goes through the platform's log: ``logfollower``
-reads and appends, ``shardview`` decides who owns what, ``leases`` and
-``owners`` hold and change ownership, ``bundlestore`` holds the
-configuration. ``claimtable`` and ``poolqueue`` are what an owner does.
+* ``gateway`` is the daemon on a platform that keeps configuration and
+  registrations itself; start with its package text.
+* ``daemon`` is the daemon with the product's own interface. Follow one
+  request: ``requests.entry`` takes it from its caller, ``requests.admission``
+  checks it, ``requests.runs`` carries it through ``ownership.claims`` (who may
+  run this key), ``pools.poolclient`` (which runner has room) and
+  ``requests.relay`` (the call to the runner), and ``requests.answers`` keeps
+  what comes back.
+
+What daemons of the second kind agree on goes through the platform's log:
+``configuration`` reads and appends, ``ownership`` decides who owns what,
+``pools`` schedules, ``peering`` connects, ``operators`` serves apricotctl.
+A gateway imports none of it.
 """
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The log of the platform and the signed configuration that it carries."""
--- a/packages/apricotlandingd/src/apricotlandingd/bundlestore.py
+++ b/packages/apricotlandingd/src/apricotlandingd/configuration/bundlestore.py
@@ -19,7 +19,7 @@
 from apricotlanding import ids
 from apricotlanding import records
 from apricotlanding import signatures
-from apricotlandingd import policies
+from apricotlandingd.pools import policies
 
 __all__ = ['BundleStore']
 
--- a/packages/apricotlandingd/src/apricotlandingd/restating.py
+++ b/packages/apricotlandingd/src/apricotlandingd/configuration/restating.py
@@ -14,10 +14,10 @@
 from apricotlanding import clocks
 from apricotlanding import ids
 from apricotlanding import records
-from apricotlandingd import bundlestore
-from apricotlandingd import logfollower
-from apricotlandingd import peers
-from apricotlandingd import shardview
+from apricotlandingd.configuration import bundlestore
+from apricotlandingd.configuration import logfollower
+from apricotlandingd.ownership import shardview
+from apricotlandingd.peering import peers
 
 __all__ = ['Restater']
 
--- a/packages/apricotlandingd/src/apricotlandingd/daemon.py
+++ b/packages/apricotlandingd/src/apricotlandingd/daemon.py
@@ -37,24 +37,24 @@
 from apricotlanding import supervisor
 from apricotlanding import tracing
 from apricotlanding import wire
-from apricotlandingd import answers
-from apricotlandingd import attaching
-from apricotlandingd import bundlestore
-from apricotlandingd import claims
-from apricotlandingd import entry
-from apricotlandingd import leases
-from apricotlandingd import logfollower
-from apricotlandingd import operatorapi
-from apricotlandingd import owners
-from apricotlandingd import peerlink
-from apricotlandingd import peers
-from apricotlandingd import poolclient
-from apricotlandingd import poolservice
-from apricotlandingd import relay
-from apricotlandingd import restating
-from apricotlandingd import runs
+from apricotlandingd.configuration import bundlestore
+from apricotlandingd.configuration import logfollower
+from apricotlandingd.configuration import restating
+from apricotlandingd.operators import operatorapi
+from apricotlandingd.ownership import claims
+from apricotlandingd.ownership import leases
+from apricotlandingd.ownership import owners
+from apricotlandingd.ownership import shardview
+from apricotlandingd.peering import peerlink
+from apricotlandingd.peering import peers
+from apricotlandingd.pools import poolclient
+from apricotlandingd.pools import poolservice
+from apricotlandingd.requests import answers
+from apricotlandingd.requests import attaching
+from apricotlandingd.requests import entry
+from apricotlandingd.requests import relay
+from apricotlandingd.requests import runs
 from apricotlandingd import settings
-from apricotlandingd import shardview
 
 __all__ = ['Daemon']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -488,6 +488,9 @@
 
     def _note_bad(self, entry: dialect.RunnerEntry, is_reached: bool) -> None:
         now = clocks.read_monotonic()
+        if is_reached and now >= self._limit_at:
+            # The runner stopped at the deadline that it was given.
+            return
         if is_reached:
             self._parts.health.note_failure(entry.id, now)
         else:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
@@ -88,6 +88,7 @@
         # Requests of all heard peers at each runner. Kept up with each
         # message: summing sixty peers for each of fifty runners at each
         # decision would cost more than the decision.
+        self._silent_share = 0.0
         self._running: collections.Counter[ids.Runner] = collections.Counter()
         # Addresses to try, with the tries that are left.
         self._sought: dict[addresses.Address, int] = {}
@@ -125,11 +126,7 @@
 
     def find_silent_share(self) -> float:
         """Return the share of all hosts that are not heard."""
-        silent = sum(
-            peer.is_silent and not peer.state.is_stopping
-            for peer in self.peers.values()
-        )
-        return silent / self.count_hosts()
+        return self._silent_share
 
     def count_running(self, runner: ids.Runner) -> int:
         """Return the requests that heard peers have at a runner."""
@@ -176,6 +173,8 @@
                 for service, ranks in state.ranks.items()
             },
         )
+        if known is None or known.is_silent:
+            self._update_silent_share()
         self._sought.pop(_parse(state.state_address), None)
         for host, address in state.hints.items():
             if host != self._host and host not in self.peers:
@@ -188,6 +187,7 @@
             if not peer.is_silent and now - peer.heard_at > SILENT_AFTER:
                 peer.is_silent = True
                 self._running.subtract(peer.state.running)
+                self._update_silent_share()
                 eliot.log_message('gateway:peer_silent', peer=host)
             limit = SILENT_AFTER if peer.state.is_stopping else DROP_AFTER
             if now - peer.heard_at <= limit:
@@ -195,9 +195,17 @@
             del self.peers[host]
             # Drops the runners that nobody uses.
             self._running = +self._running
+            self._update_silent_share()
             eliot.log_message('gateway:peer_dropped', peer=host)
             self.on_dropped(peer.state)
 
+    def _update_silent_share(self) -> None:
+        silent = sum(
+            peer.is_silent and not peer.state.is_stopping
+            for peer in self.peers.values()
+        )
+        self._silent_share = silent / self.count_hosts()
+
     def _is_newer(
         self, state: messages.HostState, known: messages.HostState
     ) -> bool:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -173,8 +173,9 @@
         tickets.sort(key=lambda ticket: ticket.find_rank(now))
         entries = self._list_usable(service, now)
         free = {entry.id: self._count_free(entry, now) for entry in entries}
-        self._grant(service, tickets, entries, free, now)
-        self._refuse(service, tickets, entries, free, now)
+        heads = self._others.list_waiting(service)
+        self._grant(service, tickets, entries, free, heads, now)
+        self._refuse(service, tickets, entries, free, heads, now)
 
     def _list_usable(
         self, service: ids.Pool, now: float
@@ -191,9 +192,9 @@
         tickets: list[waiting.Ticket],
         entries: list[dialect.RunnerEntry],
         free: dict[ids.Runner, int],
+        heads: list[waiting.Rank],
         now: float,
     ) -> None:
-        heads = self._others.list_waiting(service)
         ahead = 0
         left = sum(count for count in free.values() if count > 0)
         is_yielding = False
@@ -255,20 +256,23 @@
         tickets: list[waiting.Ticket],
         entries: list[dialect.RunnerEntry],
         free: dict[ids.Runner, int],
+        heads: list[waiting.Rank],
         now: float,
     ) -> None:
-        heads = self._others.list_waiting(service)
         places = sum(entry.slots for entry in entries)
         total_free = sum(count for count in free.values() if count > 0)
         hold = self._holds.get(service, FIRST_HOLD)
-        ahead = 0
-        for position, ticket in enumerate(list(tickets)):
+        # Those that go first: at peers, and here. One that is refused is out
+        # of the way of the next.
+        ahead = kept = 0
+        for ticket in list(tickets):
             rank = ticket.find_rank(now)
             while ahead < len(heads) and heads[ahead] < rank:
                 ahead += 1
-            before = position + ahead
+            before = kept + ahead
             wait = waiting.predict_wait(before, total_free, places, hold)
             if not _is_hopeless(ticket, wait, places, now):
+                kept += 1
                 continue
             left = ticket.ends_at - now
             back = waiting.find_return_time(
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The interface for operators."""
--- a/packages/apricotlandingd/src/apricotlandingd/operatorapi.py
+++ b/packages/apricotlandingd/src/apricotlandingd/operators/operatorapi.py
@@ -24,12 +24,12 @@
 from apricotlanding import ids
 from apricotlanding import submissions
 from apricotlanding import wire
-from apricotlandingd import admission
-from apricotlandingd import bundlestore
-from apricotlandingd import claims
-from apricotlandingd import logfollower
-from apricotlandingd import peerlink
-from apricotlandingd import peers
+from apricotlandingd.configuration import bundlestore
+from apricotlandingd.configuration import logfollower
+from apricotlandingd.ownership import claims
+from apricotlandingd.peering import peerlink
+from apricotlandingd.peering import peers
+from apricotlandingd.requests import admission
 
 __all__ = ['OperatorApi']
 
--- a/packages/apricotlandingd/src/apricotlandingd/claims.py
+++ b/packages/apricotlandingd/src/apricotlandingd/ownership/claims.py
@@ -20,13 +20,13 @@
 from apricotlanding import ids
 from apricotlanding import supervisor
 from apricotlanding import wire
-from apricotlandingd import answers
-from apricotlandingd import claimtable
-from apricotlandingd import leases
-from apricotlandingd import owners
-from apricotlandingd import peerlink
-from apricotlandingd import peers
-from apricotlandingd import shardview
+from apricotlandingd.ownership import claimtable
+from apricotlandingd.ownership import leases
+from apricotlandingd.ownership import owners
+from apricotlandingd.ownership import shardview
+from apricotlandingd.peering import peerlink
+from apricotlandingd.peering import peers
+from apricotlandingd.requests import answers
 
 __all__ = ['ClaimClient', 'ClaimDesk']
 
--- a/packages/apricotlandingd/src/apricotlandingd/leases.py
+++ b/packages/apricotlandingd/src/apricotlandingd/ownership/leases.py
@@ -20,7 +20,7 @@
 
 from apricotlanding import ids
 from apricotlanding import wire
-from apricotlandingd import shardview
+from apricotlandingd.ownership import shardview
 
 __all__ = ['PromiseBook', 'Right', 'find_serve_time']
 
--- a/packages/apricotlandingd/src/apricotlandingd/owners.py
+++ b/packages/apricotlandingd/src/apricotlandingd/ownership/owners.py
@@ -31,11 +31,11 @@
 from apricotlanding import records
 from apricotlanding import supervisor
 from apricotlanding import wire
-from apricotlandingd import leases
-from apricotlandingd import logfollower
-from apricotlandingd import peerlink
-from apricotlandingd import peers
-from apricotlandingd import shardview
+from apricotlandingd.configuration import logfollower
+from apricotlandingd.ownership import leases
+from apricotlandingd.ownership import shardview
+from apricotlandingd.peering import peerlink
+from apricotlandingd.peering import peers
 
 __all__ = ['Owners', 'Role', 'Start', 'list_shards', 'parse_shard']
 
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between daemons."""
--- a/packages/apricotlandingd/src/apricotlandingd/peers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/peering/peers.py
@@ -29,7 +29,7 @@
 from apricotlanding import ids
 from apricotlanding import supervisor
 from apricotlanding import wire
-from apricotlandingd import peerlink
+from apricotlandingd.peering import peerlink
 
 __all__ = ['Peers', 'rank_hosts']
 
--- a/packages/apricotlandingd/src/apricotlandingd/ordering.py
+++ b/packages/apricotlandingd/src/apricotlandingd/pools/ordering.py
@@ -20,7 +20,7 @@
 from apricotlanding import bundle
 from apricotlanding import clocks
 from apricotlanding import webclient
-from apricotlandingd import leases
+from apricotlandingd.ownership import leases
 
 __all__ = ['keep_ordered']
 
--- a/packages/apricotlandingd/src/apricotlandingd/policies.py
+++ b/packages/apricotlandingd/src/apricotlandingd/pools/policies.py
@@ -14,7 +14,7 @@
 import random
 import typing as ty
 
-from apricotlandingd import runnerstate
+from apricotlandingd.pools import runnerstate
 
 __all__ = ['Choice', 'Policy', 'find_policy', 'list_names', 'register']
 
--- a/packages/apricotlandingd/src/apricotlandingd/poolclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/pools/poolclient.py
@@ -16,8 +16,8 @@
 from apricotlanding import ids
 from apricotlanding import supervisor
 from apricotlanding import wire
-from apricotlandingd import owners
-from apricotlandingd import shardview
+from apricotlandingd.ownership import owners
+from apricotlandingd.ownership import shardview
 
 __all__ = ['PoolClient', 'Ticket']
 
--- a/packages/apricotlandingd/src/apricotlandingd/poolqueue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/pools/poolqueue.py
@@ -29,10 +29,10 @@
 from apricotlanding import bundle
 from apricotlanding import ids
 from apricotlanding import wire
-from apricotlandingd import drainrate
-from apricotlandingd import policies
-from apricotlandingd import runnerstate
-from apricotlandingd import tierqueue
+from apricotlandingd.pools import drainrate
+from apricotlandingd.pools import policies
+from apricotlandingd.pools import runnerstate
+from apricotlandingd.pools import tierqueue
 
 __all__ = ['GrantDecision', 'PoolQueue', 'ShedDecision']
 
--- a/packages/apricotlandingd/src/apricotlandingd/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/pools/poolservice.py
@@ -26,13 +26,13 @@
 from apricotlanding import metrics
 from apricotlanding import webclient
 from apricotlanding import wire
-from apricotlandingd import leases
-from apricotlandingd import ordering
-from apricotlandingd import owners
-from apricotlandingd import peerlink
-from apricotlandingd import peers
-from apricotlandingd import poolqueue
-from apricotlandingd import runnerstate
+from apricotlandingd.ownership import leases
+from apricotlandingd.ownership import owners
+from apricotlandingd.peering import peerlink
+from apricotlandingd.peering import peers
+from apricotlandingd.pools import ordering
+from apricotlandingd.pools import poolqueue
+from apricotlandingd.pools import runnerstate
 
 __all__ = ['PoolDesk']
 
--- a/packages/apricotlandingd/src/apricotlandingd/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/admission.py
@@ -19,7 +19,7 @@
 from apricotlanding import bundle
 from apricotlanding import errors
 from apricotlanding import ids
-from apricotlandingd import runnerstate
+from apricotlandingd.pools import runnerstate
 
 __all__ = ['Head', 'Request', 'check_body', 'check_headers', 'hash_prefix']
 
--- a/packages/apricotlandingd/src/apricotlandingd/attaching.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/attaching.py
@@ -13,10 +13,10 @@
 from apricotlanding import errors
 from apricotlanding import ids
 from apricotlanding import wire
-from apricotlandingd import answers
-from apricotlandingd import claims
-from apricotlandingd import peerlink
-from apricotlandingd import peers
+from apricotlandingd.ownership import claims
+from apricotlandingd.peering import peerlink
+from apricotlandingd.peering import peers
+from apricotlandingd.requests import answers
 
 __all__ = ['Attacher']
 
--- a/packages/apricotlandingd/src/apricotlandingd/entry.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/entry.py
@@ -19,9 +19,9 @@
 from apricotlanding import clocks
 from apricotlanding import errors
 from apricotlanding import tracing
-from apricotlandingd import admission
-from apricotlandingd import answers
-from apricotlandingd import runs
+from apricotlandingd.requests import admission
+from apricotlandingd.requests import answers
+from apricotlandingd.requests import runs
 
 __all__ = ['Entry']
 
--- a/packages/apricotlandingd/src/apricotlandingd/relay.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/relay.py
@@ -27,8 +27,8 @@
 from apricotlanding import bundle
 from apricotlanding import clocks
 from apricotlanding import webclient
-from apricotlandingd import admission
-from apricotlandingd import answers
+from apricotlandingd.requests import admission
+from apricotlandingd.requests import answers
 
 __all__ = ['Attempt', 'AttemptEnd', 'Relay']
 
--- a/packages/apricotlandingd/src/apricotlandingd/runs.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/runs.py
@@ -32,13 +32,13 @@
 from apricotlanding import metrics
 from apricotlanding import tracing
 from apricotlanding import wire
-from apricotlandingd import admission
-from apricotlandingd import answers
-from apricotlandingd import attaching
-from apricotlandingd import claims
-from apricotlandingd import poolclient
-from apricotlandingd import relay
-from apricotlandingd import retrybudget
+from apricotlandingd.ownership import claims
+from apricotlandingd.pools import poolclient
+from apricotlandingd.requests import admission
+from apricotlandingd.requests import answers
+from apricotlandingd.requests import attaching
+from apricotlandingd.requests import relay
+from apricotlandingd.requests import retrybudget
 
 __all__ = ['Run', 'RunState', 'Runs']
 
--- a/tests/faultmatrix.py
+++ b/tests/faultmatrix.py
@@ -21,7 +21,7 @@
 import typing as ty
 
 from apricotlanding import ids
-from apricotlandingd import admission
+from apricotlandingd.requests import admission
 from apricotstandins import callers
 from apricotstandins import deployment
 from apricotstandins import processes
--- a/tests/ownershipmodel.py
+++ b/tests/ownershipmodel.py
@@ -17,10 +17,10 @@
 from apricotlanding import platformlog
 from apricotlanding import records
 from apricotlanding import wire
-from apricotlandingd import claimtable
-from apricotlandingd import leases
-from apricotlandingd import logfollower
-from apricotlandingd import shardview
+from apricotlandingd.configuration import logfollower
+from apricotlandingd.ownership import claimtable
+from apricotlandingd.ownership import leases
+from apricotlandingd.ownership import shardview
 from apricotstandins import callers
 
 SHARD = ids.Shard('claims/0')
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -18,7 +18,7 @@
 from apricotlanding import handshake
 from apricotlanding import ids
 from apricotlanding import yamlfiles
-from apricotlandingd import policies
+from apricotlandingd.pools import policies
 from apricotlandingd import settings
 from apricotstandins import callers
 from apricotstandins import deployment
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -187,6 +187,16 @@
         self.assertTrue(all(item.decision is None for item in high))
         self.assertIsInstance(low[-1].decision, waiting.Refusal)
 
+    def test_one_that_is_refused_is_out_of_the_way(self) -> None:
+        # A caller was refused with a place in sight: twelve before it were
+        # refused in the same moment, and still counted as going first.
+        self.fill()
+        for _ in range(12):
+            self.enter(0.0, useful_until=3.1)
+        last = self.enter(0.0, tier=1, useful_until=3.4)
+        self.scheduler.pump(3.0)
+        self.assertIsNone(last.decision)
+
     def test_no_runner_is_waited_for_only_a_moment(self) -> None:
         for name in ('r1', 'r2'):
             self.runners.update(make_entry(name, is_draining=True))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,8 +12,8 @@
 from apricotlanding import hostlist
 from apricotlanding import ids
 from apricotlanding import wire
-from apricotlandingd import peerlink
-from apricotlandingd import peers
+from apricotlandingd.peering import peerlink
+from apricotlandingd.peering import peers
 
 Check = collections.abc.Callable[
     [peers.Peers], collections.abc.Coroutine[ty.Any, ty.Any, None]
--- a/tests/test_pool_queue.py
+++ b/tests/test_pool_queue.py
@@ -8,8 +8,8 @@
 from apricotlanding import bundle
 from apricotlanding import ids
 from apricotlanding import wire
-from apricotlandingd import policies
-from apricotlandingd import poolqueue
+from apricotlandingd.pools import policies
+from apricotlandingd.pools import poolqueue
 
 NEAR = ids.Incarnation('entry-1/a')
 FAR = ids.Incarnation('entry-2/b')
--- a/tests/test_safeguards.py
+++ b/tests/test_safeguards.py
@@ -15,10 +15,10 @@
 from apricotlanding import ids
 from apricotlanding import records
 from apricotlanding import wire
-from apricotlandingd import claimtable
-from apricotlandingd import leases
-from apricotlandingd import logfollower
-from apricotlandingd import shardview
+from apricotlandingd.configuration import logfollower
+from apricotlandingd.ownership import claimtable
+from apricotlandingd.ownership import leases
+from apricotlandingd.ownership import shardview
 import ownershipmodel as model
 
 Story = collections.abc.Callable[[model.World], None]
