Drop what nothing uses in the exchange

Cause: an unused random source and a constant were left from earlier forms, and the service's name was read by a detour.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -20,7 +20,6 @@
 import dataclasses
 import enum
 import math
-import random
 import typing as ty
 
 import anyio
@@ -77,7 +76,6 @@
 # weight of the newest answer in the mean.
 FIRST_EVENTS = 50.0
 EVENTS_WEIGHT = 0.05
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class _End(enum.Enum):
@@ -104,7 +102,6 @@
     health: health.Health
     paces: pace.Paces
     measures: measures.Measures
-    spread: random.Random
     find_catalogue: collections.abc.Callable[[], catalogue.Catalogue | None]
     find_client: collections.abc.Callable[
         [dialect.RunnerEntry], runnerclient.RunnerClient
@@ -141,7 +138,8 @@
         self._body = b''
         self._head: dialect.RequestHead
         self._route: catalogue.Route
-        self._service: ids.Pool
+        # '' until the route is known.
+        self._service = ids.Pool('')
         self._organisation: catalogue.Organisation | None = None
         self._cost = 0.0
         self._event_tokens = 1.0
@@ -762,10 +760,6 @@
         await asgi.start_answer(self._send, problem.status, headers)
         await asgi.send_part(self._send, body, is_last=True)
 
-    def _find_service_name(self) -> ids.Pool | None:
-        # A request that was refused early has no service yet.
-        return getattr(self, '_service', None)
-
     def _finish(self, now: float) -> None:
         head = self._head
         took = now - self._arrived_at
@@ -787,7 +781,7 @@
             runner=self._runner,
             sends=self._sends,
             version=self._version,
-            service=self._find_service_name(),
+            service=self._service,
             tokens=[head.prompt_tokens, head.expected_tokens],
             given_s=head.deadline_s,
             waited_s=round(self._waited_s, 4),
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -169,7 +169,6 @@
             health=self._health,
             paces=self._paces,
             measures=self._measures,
-            spread=self._spread,
             find_catalogue=lambda: self._catalogue,
             find_client=self._find_client,
             count_hosts=self._mesh.count_hosts,
