Let hosts form groups of about twelve that share runners

Cause: at 61 hosts each heard all others several times a second; states were up to 250 ms old when 260 of 392 places change hands in as long a time, so runners were overfilled (2310 of 15770 arrivals rejected as full), and each decision looked at 56 runners and 60 peers.

Ruled out: sending less often in a full mesh (staler still); one scheduler a pool (one process before 330 requests/s of model work; its loss needs this as its fallback).

Change: every host computes the same groups from the hosts' names (groups); a group has a part of each service's runners to itself and tells its states at once; other hosts hear in turn, ten a second. Allowances are divided between groups by what is asked for in each (groupuses). Services with few runners are shared by all groups within a part of their slots.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
@@ -44,6 +44,8 @@
         self._keep_s = max(0.0, drain_s - DRAIN_MARGIN)
         self._places: dict[ids.Runner, _Place] = {}
         self._outage_at: float | None = None
+        # Counts the changes, for those who keep what they derive from it.
+        self.changes = 0
 
     def note_outage(self, now: float) -> None:
         """Say that the store was not reached just now."""
@@ -52,6 +54,7 @@
     def update(self, entry: dialect.RunnerEntry) -> None:
         """Take a registration or its change."""
         self._places[entry.id] = _Place(entry)
+        self.changes += 1
 
     def remove(self, runner: ids.Runner, now: float) -> None:
         """Take the end of a registration."""
@@ -61,7 +64,7 @@
         if self._is_outage(now) and not place.entry.is_draining:
             place.removed_at = now
             return
-        del self._places[runner]
+        self._drop(runner)
 
     def expire(self, now: float) -> None:
         """Drop runners whose registration did not come back in time."""
@@ -72,7 +75,7 @@
             # runner may have left for good all the same.
             is_over = now - place.removed_at > self._keep_s
             if is_over or not self._is_outage(now):
-                del self._places[runner]
+                self._drop(runner)
 
     def find(self, runner: ids.Runner) -> dialect.RunnerEntry | None:
         """Return a runner that is still known."""
@@ -91,6 +94,10 @@
         """Return all runners that are known."""
         return [place.entry for place in self._places.values()]
 
+    def _drop(self, runner: ids.Runner) -> None:
+        del self._places[runner]
+        self.changes += 1
+
     def _is_outage(self, now: float) -> bool:
         if self._outage_at is None:
             return False
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -108,6 +108,10 @@
     ]
     count_hosts: collections.abc.Callable[[], int]
     find_silent_share: collections.abc.Callable[[], float]
+    # Part of an organisation's allowance that is for this host's group.
+    find_group_part: collections.abc.Callable[
+        [catalogue.Organisation, float], float
+    ]
     is_stopping: collections.abc.Callable[[], bool]
     on_change: collections.abc.Callable[[], None]
     # Longest time that callers of a route have given, by route.
@@ -229,8 +233,10 @@
         if self._head.has_tokens:
             tokens = self._head.prompt_tokens + self._head.output_tokens
         cost = self._parts.quotas.find_cost(holder, tokens)
+        silent_share = self._parts.find_silent_share()
+        group_part = self._parts.find_group_part(holder, now)
         wait = self._parts.quotas.take(
-            holder, cost, self._parts.find_silent_share(), now
+            holder, cost, silent_share, now, group_part
         )
         if wait is not None:
             eliot.log_message(
@@ -239,7 +245,8 @@
                 organisation=holder.name,
                 cost=cost,
                 wait_s=round(wait, 3),
-                silent_share=round(self._parts.find_silent_share(), 3),
+                silent_share=round(silent_share, 3),
+                group_part=round(group_part, 3),
                 version=self._version,
             )
             return errors.make_problem(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -17,6 +17,7 @@
 over.
 """
 
+import collections
 import collections.abc
 import random
 import signal
@@ -35,6 +36,7 @@
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import exchange
+from apricotlandingd.gateway import groupuses
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import listener
 from apricotlandingd.gateway import measures
@@ -64,9 +66,11 @@
 # Part of the grace after which a stopping process ends although requests
 # are open: they would be cut by the kill that follows.
 STOP_PART = 0.94
-# Hosts that follow the store themselves; the others hear from them. More
-# than enough for a store that turns a third of the hosts away.
+# Hosts of a group that follow the store themselves; the others hear from
+# them. More than enough for a store that turns a third of the hosts away, of
+# one group; of several, records also spread from group to group.
 READERS = 8
+GROUP_READERS = 3
 # Seconds after its last answer for which the store counts as reached. A
 # long poll of ``READ_WAIT`` and its margin lie between two answers.
 STORE_REACHED = 6.0
@@ -149,6 +153,7 @@
         self._quotas = quotas.Quotas(
             bounds.quota_slack, clocks.read_monotonic()
         )
+        self._group_uses = groupuses.GroupUses()
         self._scheduler = scheduler.Scheduler(
             self._directory,
             self._paces,
@@ -173,6 +178,7 @@
             find_client=self._find_client,
             count_hosts=self._mesh.count_hosts,
             find_silent_share=self._mesh.find_silent_share,
+            find_group_part=self._find_group_part,
             is_stopping=lambda: self._is_stopping,
             on_change=self._mesh.tell,
             usual_limits={},
@@ -309,10 +315,11 @@
         # those that hear too few of these.
         before = [
             peer
-            for peer in self._mesh.list_heard()
+            for peer in self._mesh.list_near()
             if peer.state.reads_store and peer.state.host < self._settings.host
         ]
-        return len(before) < READERS
+        is_divided = self._mesh.partition.count > 1
+        return len(before) < (GROUP_READERS if is_divided else READERS)
 
     def _reads_store(self, now: float) -> bool:
         return all(
@@ -365,6 +372,10 @@
         self, number: int, hints: dict[ids.Host, str]
     ) -> messages.HostState:
         now = clocks.read_monotonic()
+        asked = group_asked = quotas.Usage()
+        if self._mesh.partition.count > 1:
+            asked = self._quotas.list_asked(now)
+            group_asked = self._sum_asked(asked)
         ranks = {
             service: [rank.shift(-now) for rank in items[: mesh.RANKS]]
             for service, items in self._scheduler.list_waiting(now).items()
@@ -382,10 +393,36 @@
             usage=self._quotas.usage,
             ranks=ranks,
             hints=hints,
+            asked=asked,
+            group_asked=group_asked,
         )
 
+    def _sum_asked(self, asked: quotas.Usage) -> quotas.Usage:
+        total = collections.Counter(asked)
+        for peer in self._mesh.list_near():
+            total.update(peer.state.asked)
+        return dict(total)
+
+    def _find_group_part(
+        self, organisation: catalogue.Organisation, now: float
+    ) -> float:
+        count = self._mesh.partition.count
+        if count == 1:
+            return 1.0
+        name = organisation.name
+        asked = self._quotas.find_asked(name, now) + sum(
+            peer.state.asked.get(name, 0.0) for peer in self._mesh.list_near()
+        )
+        return self._group_uses.find_part(organisation, asked, count)
+
     def _take_state(self, state: messages.HostState, now: float) -> None:
-        self._quotas.hear(state.incarnation, state.usage, now)
+        if self._mesh.partition.is_near(state.host):
+            self._quotas.hear(state.incarnation, state.usage, now)
+        else:
+            self._quotas.skip(state.incarnation, state.usage)
+            self._group_uses.hear(
+                self._mesh.partition.find_group(state.host), state.group_asked
+            )
         if records.is_ahead(state.positions, self._board.positions):
             self._peer_ahead.set()
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
@@ -7,6 +7,10 @@
 silent costs nothing but its own estimate. ``Mesh`` implements what the
 scheduler asks about others.
 
+Hosts of one group (``groups``) are near: they tell each other every change,
+and only their requests and waits count here. Each other host is far: it hears
+from this one in its turn, so that hosts stay known and records spread.
+
 A silent peer may be dead, frozen, or only cut off from this host. What it
 reported is used for a moment, after which it counts as silent: the scheduler
 and the quotas then assume that it goes on using its share.
@@ -26,17 +30,21 @@
 from apricotlanding import clocks
 from apricotlanding import errors
 from apricotlanding import ids
+from apricotlandingd.gateway import groups
 from apricotlandingd.gateway import messages
 from apricotlandingd.gateway import waiting
 
 __all__ = ['Mesh', 'Peer']
 
-# Seconds between messages to a peer when nothing changes, and the least
-# time between messages for each peer that is known: seven hosts send at
-# most every 21 ms, which costs each about 2% of a core; eighty send at most
-# every 250 ms, which is their heartbeat.
+# Seconds between messages to near peers when nothing changes.
 HEARTBEAT = 0.25
-INTERVAL_A_PEER = 0.003
+# Least seconds between messages to near peers, for the square of their
+# number, as the messages in a group grow: seven hosts send at most every
+# 18 ms, twelve at most every 60 ms. Each costs about 2% of a core.
+INTERVAL_A_SQUARE = 0.0005
+# Seconds between messages to far peers, each of which gets one in its turn: of
+# four groups, a host hears each other one about three times a second.
+FAR_INTERVAL = 0.1
 # Seconds without a message after which a peer counts as silent: it missed
 # two heartbeats and most of a third.
 SILENT_AFTER = 0.7
@@ -65,6 +73,10 @@
     heard_at: float
     # Ranks of what waits there, on this host's clock.
     ranks: dict[ids.Pool, list[waiting.Rank]]
+    # Is in this host's group.
+    is_near: bool
+    # When it came into the group: before, it sent rarely.
+    near_at: float = 0.0
     # Messages are missing.
     is_silent: bool = False
 
@@ -85,11 +97,12 @@
         self._address = address
         self._spread = spread
         self.peers: dict[ids.Host, Peer] = {}
-        # Requests of all heard peers at each runner. Kept up with each
-        # message: summing sixty peers for each of fifty runners at each
-        # decision would cost more than the decision.
-        self._silent_share = 0.0
+        # Requests of all heard near peers at each runner. Kept up with each
+        # message: summing all peers for each runner at each decision would
+        # cost more than the decision.
         self._running: collections.Counter[ids.Runner] = collections.Counter()
+        self._silent_share = 0.0
+        self.partition = groups.Partition()
         # Addresses to try, with the tries that are left.
         self._sought: dict[addresses.Address, int] = {}
         for seed in seeds:
@@ -124,8 +137,12 @@
         """Return the peers that are not silent."""
         return [peer for peer in self.peers.values() if not peer.is_silent]
 
+    def list_near(self) -> list[Peer]:
+        """Return the near peers that are not silent."""
+        return [peer for peer in self.list_heard() if peer.is_near]
+
     def find_silent_share(self) -> float:
-        """Return the share of all hosts that are not heard."""
+        """Return the share of this host's group that is not heard."""
         return self._silent_share
 
     def count_running(self, runner: ids.Runner) -> int:
@@ -135,7 +152,7 @@
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         """Return what waits at heard peers, sorted."""
         ranks: list[waiting.Rank] = []
-        for peer in self.list_heard():
+        for peer in self.list_near():
             ranks.extend(peer.ranks.get(service, ()))
         ranks.sort()
         return ranks
@@ -160,21 +177,18 @@
             return
         if known is None or known.is_silent:
             eliot.log_message('gateway:peer_heard', peer=state.host)
+        peer = self._make_peer(state, now)
+        if known is not None:
+            peer.near_at = known.near_at
+        self.peers[state.host] = peer
         if known is None:
             self._changed.set()
-        elif not known.is_silent:
+            self._divide(now)
+        elif known.is_silent:
+            self._count()
+        elif peer.is_near:
             self._running.subtract(known.state.running)
-        self._running.update(state.running)
-        self.peers[state.host] = Peer(
-            state,
-            now,
-            {
-                service: [rank.shift(now) for rank in ranks]
-                for service, ranks in state.ranks.items()
-            },
-        )
-        if known is None or known.is_silent:
-            self._update_silent_share()
+            self._running.update(state.running)
         self._sought.pop(_parse(state.state_address), None)
         for host, address in state.hints.items():
             if host != self._host and host not in self.peers:
@@ -183,28 +197,66 @@
 
     def drop_silent(self, now: float) -> None:
         """Leave silent peers out, and forget those that stay silent."""
+        count = len(self.peers)
         for host, peer in list(self.peers.items()):
-            if not peer.is_silent and now - peer.heard_at > SILENT_AFTER:
+            turn = 0.0 if peer.is_near else self._find_turn()
+            passed = now - peer.heard_at
+            quiet = now - max(peer.heard_at, peer.near_at)
+            if not peer.is_silent and quiet > SILENT_AFTER + 2 * turn:
                 peer.is_silent = True
-                self._running.subtract(peer.state.running)
-                self._update_silent_share()
+                self._count()
                 eliot.log_message('gateway:peer_silent', peer=host)
             limit = SILENT_AFTER if peer.state.is_stopping else DROP_AFTER
-            if now - peer.heard_at <= limit:
+            if passed <= limit + 4 * turn:
                 continue
             del self.peers[host]
-            # Drops the runners that nobody uses.
-            self._running = +self._running
-            self._update_silent_share()
             eliot.log_message('gateway:peer_dropped', peer=host)
             self.on_dropped(peer.state)
-
-    def _update_silent_share(self) -> None:
-        silent = sum(
-            peer.is_silent and not peer.state.is_stopping
-            for peer in self.peers.values()
-        )
-        self._silent_share = silent / self.count_hosts()
+        if len(self.peers) != count:
+            self._divide(now)
+
+    def _make_peer(self, state: messages.HostState, now: float) -> Peer:
+        is_near = self.partition.is_near(state.host)
+        ranks: dict[ids.Pool, list[waiting.Rank]] = {}
+        if is_near:
+            for service, found in state.ranks.items():
+                ranks[service] = [rank.shift(now) for rank in found]
+        return Peer(state, now, ranks, is_near)
+
+    def _find_turn(self) -> float:
+        # Seconds until a far peer sends here again, if it knows as many
+        # hosts as this one.
+        return FAR_INTERVAL * len(self.peers)
+
+    def _divide(self, now: float) -> None:
+        before = self.partition
+        self.partition = groups.make_partition(self._host, list(self.peers))
+        for host, peer in self.peers.items():
+            was_near = peer.is_near
+            peer.is_near = self.partition.is_near(host)
+            if peer.is_near and not was_near:
+                peer.near_at = now
+        self._count()
+        if self.partition.count != before.count:
+            eliot.log_message(
+                'gateway:groups',
+                count=self.partition.count,
+                own=self.partition.own,
+                hosts=self.count_hosts(),
+            )
+
+    def _count(self) -> None:
+        self._running.clear()
+        silent = near = 0
+        for peer in self.peers.values():
+            if not peer.is_near:
+                continue
+            near += 1
+            if not peer.is_silent:
+                self._running.update(peer.state.running)
+            elif not peer.state.is_stopping:
+                silent += 1
+        self._silent_share = silent / (1 + near)
 
     def _is_newer(
         self, state: messages.HostState, known: messages.HostState
@@ -228,6 +280,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._receive, socket)
                 group.start_soon(self._search, socket)
+                group.start_soon(self._tell_far, socket)
                 await self._send_forever(socket)
 
     async def _receive(self, socket: anyio.abc.UDPSocket) -> None:
@@ -251,13 +304,36 @@
             self._changed = anyio.Event()
             self.drop_silent(clocks.read_monotonic())
             data = self._write_state()
-            for peer in list(self.peers.values()):
+            near = [peer for peer in self.peers.values() if peer.is_near]
+            for peer in near:
                 await self._send(
                     socket, data, _parse(peer.state.state_address)
                 )
-            pause = INTERVAL_A_PEER * len(self.peers)
+            pause = INTERVAL_A_SQUARE * len(near) ** 2
             await anyio.sleep(min(HEARTBEAT, pause))
 
+    async def _tell_far(self, socket: anyio.abc.UDPSocket) -> None:
+        turn: collections.deque[ids.Host] = collections.deque()
+        while True:
+            await anyio.sleep(FAR_INTERVAL)
+            if not turn:
+                turn.extend(self._list_far())
+            if not turn:
+                continue
+            peer = self.peers.get(turn.popleft())
+            if peer is None or peer.is_near:
+                continue
+            await self._send(
+                socket, self._write_state(), _parse(peer.state.state_address)
+            )
+
+    def _list_far(self) -> list[ids.Host]:
+        # In a new order each time, so that those who send at the same pace
+        # do not all send to the same host at once.
+        far = [host for host, peer in self.peers.items() if not peer.is_near]
+        self._spread.shuffle(far)
+        return far
+
     async def _search(self, socket: anyio.abc.UDPSocket) -> None:
         while True:
             data = self._write_state()
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/messages.py
@@ -51,6 +51,14 @@
     ranks: dict[ids.Pool, list[waiting.Rank]]
     # Some other hosts, and where they take these messages.
     hints: dict[ids.Host, str]
+    # Units asked for a second at this host, and at all hosts of its group, by
+    # organisation; empty while there is one group.
+    asked: dict[ids.Organisation, float] = dataclasses.field(
+        default_factory=dict
+    )
+    group_asked: dict[ids.Organisation, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @registry.register(2)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
@@ -10,10 +10,12 @@
 another. What it must withstand is a host that hears nothing: others may be
 handing out at the same time. For each peer that is silent the bucket is
 drained at an equal share of the rate, so hosts that are cut off from each
-other hand out the allowance once between them.
+other hand out the allowance once between them. In the same way the groups of a
+large system each have their part of it (``groupuses``).
 """
 
 import dataclasses
+import math
 import typing as ty
 
 from apricotlanding import ids
@@ -32,7 +34,10 @@
 # Seconds after the start of a process in which peers that are heard for the
 # first time are those that ran before it, whose totals are of the past.
 YOUNG = 3.0
-# Units handed out since the start of a process, by organisation.
+# Seconds over which the units asked for are averaged: long enough for a caller
+# that comes every second or two, short against the operators' window.
+ASKED_TIME = 2.0
+# Units by organisation.
 Usage = dict[ids.Organisation, float]
 # Shortest time after which a refused caller is asked to come back, seconds.
 SHORTEST_RETURN = 0.2
@@ -73,6 +78,8 @@
         self._buckets: dict[ids.Organisation, _Bucket] = {}
         # What this process handed out.
         self.usage: Usage = {}
+        # Units asked for a second, when they were counted.
+        self._asked: dict[ids.Organisation, tuple[float, float]] = {}
         # What each peer's process said last.
         self._heard: dict[ids.Incarnation, Usage] = {}
 
@@ -92,18 +99,23 @@
         cost: float,
         silent_share: float,
         now: float,
+        group_part: float = 1.0,
     ) -> float | None:
         """Hand out units, or return seconds until there are enough.
 
-        ``silent_share`` is the share of all hosts that are not heard.
+        ``group_part`` is the part of the allowance that is for this host's
+        group, and ``silent_share`` the share of the group's hosts that are
+        not heard.
         """
         if organisation.units_per_s <= 0:
             return None
-        bucket = self._refill(organisation, silent_share, now)
+        self._note_asked(organisation.name, cost, now)
+        bucket = self._refill(organisation, silent_share, group_part, now)
         # A request larger than the bucket goes when the bucket is full.
-        needed = min(cost, self._find_size(organisation))
+        needed = min(cost, bucket.size)
         if bucket.level < needed:
-            rate = organisation.units_per_s * max(0.1, 1 - silent_share)
+            rate = organisation.units_per_s * group_part
+            rate *= max(0.1, 1 - silent_share)
             return max(SHORTEST_RETURN, (needed - bucket.level) / rate)
         self._charge(organisation.name, cost)
         return None
@@ -115,6 +127,19 @@
         if organisation.units_per_s > 0:
             self._charge(organisation.name, -cost)
 
+    def list_asked(self, now: float) -> Usage:
+        """Return the units asked for a second at this host."""
+        return {name: self.find_asked(name, now) for name in self._asked}
+
+    def find_asked(self, name: ids.Organisation, now: float) -> float:
+        """Return the units that an organisation asks for a second."""
+        rate, at = self._asked.get(name, (0.0, now))
+        return rate * math.exp((at - now) / ASKED_TIME)
+
+    def skip(self, peer: ids.Incarnation, usage: Usage) -> None:
+        """Remember a peer's totals whose use counts elsewhere."""
+        self._heard[peer] = usage
+
     def hear(self, peer: ids.Incarnation, usage: Usage, now: float) -> None:
         """Take out what a peer handed out since it was heard last."""
         before = self._heard.get(peer)
@@ -142,24 +167,29 @@
         self._buckets[name].level -= units
         self.usage[name] = self.usage.get(name, 0.0) + units
 
-    def _find_size(self, organisation: catalogue.Organisation) -> float:
-        return organisation.burst_units + self._slack
+    def _note_asked(
+        self, name: ids.Organisation, units: float, now: float
+    ) -> None:
+        rate = self.find_asked(name, now) + units / ASKED_TIME
+        self._asked[name] = (rate, now)
 
     def _refill(
         self,
         organisation: catalogue.Organisation,
         silent_share: float,
+        group_part: float,
         now: float,
     ) -> _Bucket:
-        size = self._find_size(organisation)
+        size = (organisation.burst_units + self._slack) * group_part
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
-            # Of the first part, too, silent hosts have their share: hosts that
-            # start cut off from each other would hand it out once each.
+            # Of the first units, too, silent hosts have their share: hosts
+            # that start cut off from each other would hand them out once each.
             first = size * FIRST_PART * (1 - silent_share)
             bucket = _Bucket(first, self._started_at)
             self._buckets[organisation.name] = bucket
         bucket.size = size
-        bucket.rate = organisation.units_per_s * (1 - silent_share)
+        rate = organisation.units_per_s * group_part
+        bucket.rate = rate * (1 - silent_share)
         bucket.refill(now)
         return bucket
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -19,6 +19,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
+from apricotlandingd.gateway import groups
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import placement
@@ -55,7 +56,11 @@
         """Return what waits at heard peers, sorted."""
 
     def find_silent_share(self) -> float:
-        """Return the share of all hosts that are not heard."""
+        """Return the share of this host's group that is not heard."""
+
+    @property
+    def partition(self) -> groups.Partition:
+        """Return which hosts and runners schedule together."""
 
 
 @ty.final
@@ -128,6 +133,11 @@
             collections.OrderedDict()
         )
         self._yielded_at: dict[ids.Pool, float] = {}
+        # Runners of this host's group by service, and what they follow from:
+        # the groups, and the changes of the directory.
+        self._own: dict[ids.Pool, list[dialect.RunnerEntry]] = {}
+        self._own_of: groups.Partition | None = None
+        self._own_at = 0
 
     # Requests.
 
@@ -227,10 +237,23 @@
     ) -> list[dialect.RunnerEntry]:
         return [
             entry
-            for entry in self._runners.list_open(service)
+            for entry in self._list_own(service)
             if not self._health.is_closed(entry.id, now)
         ]
 
+    def _list_own(self, service: ids.Pool) -> list[dialect.RunnerEntry]:
+        # Kept until hosts or registrations change: sorting the runners at
+        # each decision would cost more than the decision.
+        partition, changes = self._others.partition, self._runners.changes
+        if partition is not self._own_of or changes != self._own_at:
+            self._own_of, self._own_at = partition, changes
+            self._own.clear()
+        found = self._own.get(service)
+        if found is None:
+            found = partition.select_runners(self._runners.list_open(service))
+            self._own[service] = found
+        return found
+
     def _grant(
         self, service: ids.Pool, queue: '_Queue', view: '_View', now: float
     ) -> None:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -10,6 +10,7 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
+from apricotlandingd.gateway import groups
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import mesh
 from apricotlandingd.gateway import messages
@@ -54,6 +55,7 @@
         self.running: dict[ids.Runner, int] = {}
         self.ranks: list[waiting.Rank] = []
         self.silent = 0.0
+        self.partition = groups.Partition()
 
     def count_running(self, runner: ids.Runner) -> int:
         return self.running.get(runner, 0)
--- /dev/null
+++ b/tests/test_gateway_groups.py
@@ -0,0 +1,212 @@
+"""Groups of hosts in a large system: who hears whom, and who gets what."""
+
+import collections
+import random
+
+import testtools
+
+from apricotlanding import addresses
+from apricotlanding import ids
+from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway import groups
+from apricotlandingd.gateway import groupuses
+from apricotlandingd.gateway import mesh
+from apricotlandingd.gateway import messages
+from apricotlandingd.gateway import quotas
+from apricotlandingd.gateway import waiting
+
+POOL = ids.Pool('pool')
+HOSTS = [ids.Host(f'host-{number}') for number in range(61)]
+FESTIN = catalogue.Organisation(
+    name=ids.Organisation('festin'),
+    keys=frozenset(),
+    tier=None,
+    units_per_s=1000.0,
+    burst_units=1000.0,
+    counts_tokens=True,
+    default_tokens=10.0,
+)
+
+
+def make_entries(count: int, slots: int = 7) -> list[dialect.RunnerEntry]:
+    return [
+        dialect.RunnerEntry(
+            id=ids.Runner(f'i-{number}'),
+            service=POOL,
+            address=addresses.Address('127.0.0.1', 1),
+            domain=ids.Domain('d1'),
+            slots=slots,
+            is_draining=False,
+        )
+        for number in range(count)
+    ]
+
+
+def make_partitions(hosts: list[ids.Host]) -> list[groups.Partition]:
+    """Return the groups as each host sees them."""
+    return [
+        groups.make_partition(
+            host, [other for other in hosts if other != host]
+        )
+        for host in hosts
+    ]
+
+
+class TestPartition(testtools.TestCase):
+    """Sixty-one hosts."""
+
+    def test_few_hosts_are_one_group(self) -> None:
+        for found in make_partitions(HOSTS[:17]):
+            self.assertEqual(1, found.count)
+            self.assertEqual(5, len(found.select_runners(make_entries(5))))
+
+    def test_groups_are_of_equal_size(self) -> None:
+        own = [found.own for found in make_partitions(HOSTS)]
+        sizes = collections.Counter(own).values()
+        self.assertEqual(5, len(sizes))
+        self.assertLessEqual(max(sizes) - min(sizes), 1)
+
+    def test_all_hosts_see_the_same_groups(self) -> None:
+        first, *rest = make_partitions(HOSTS)
+        for found in rest:
+            self.assertEqual(first.groups, found.groups)
+
+    def test_each_runner_belongs_to_one_group(self) -> None:
+        entries = make_entries(56)
+        counts: collections.Counter[ids.Runner] = collections.Counter()
+        for group in range(5):
+            found = groups.Partition(5, group)
+            counts.update(entry.id for entry in found.select_runners(entries))
+        self.assertEqual({1}, set(counts.values()))
+        self.assertEqual(56, len(counts))
+
+    def test_lost_host_moves_only_the_edges(self) -> None:
+        before = groups.make_partition(HOSTS[0], HOSTS[1:])
+        after = groups.make_partition(HOSTS[0], HOSTS[1:-1])
+        moved = [
+            host
+            for host, group in after.groups.items()
+            if before.groups[host] != group
+        ]
+        self.assertLessEqual(len(moved), 4)
+
+    def test_small_service_is_not_divided(self) -> None:
+        # One group's only runner crashed, and its callers got nothing though
+        # three others were free.
+        found = groups.Partition(5, 2)
+        entries = found.select_runners(make_entries(4))
+        self.assertEqual(4, len(entries))
+        self.assertEqual({2}, {entry.slots for entry in entries})
+
+
+class TestGroupUses(testtools.TestCase):
+    """An organisation whose callers come to four groups."""
+
+    def make_uses(self, asked: tuple[float, ...]) -> list[groupuses.GroupUses]:
+        found = [groupuses.GroupUses() for _ in asked]
+        for own, uses in enumerate(found):
+            for group, units in enumerate(asked):
+                if group != own:
+                    uses.hear(group, {FESTIN.name: units})
+        return found
+
+    def find_parts(self, asked: tuple[float, ...]) -> list[float]:
+        return [
+            uses.find_part(FESTIN, own, len(asked))
+            for uses, own in zip(self.make_uses(asked), asked, strict=True)
+        ]
+
+    def test_parts_add_up_to_the_whole(self) -> None:
+        for asked in ((0, 0, 0, 0), (10, 20, 3000, 40), (500, 500, 0, 0)):
+            self.assertAlmostEqual(1.0, sum(self.find_parts(asked)))
+
+    def test_group_that_asks_alone_has_nearly_all(self) -> None:
+        self.assertGreater(self.find_parts((900, 0, 0, 0))[0], 0.85)
+
+    def test_group_that_heard_nobody_takes_an_equal_part(self) -> None:
+        part = groupuses.GroupUses().find_part(FESTIN, 5000.0, 4)
+        self.assertEqual(0.25, part)
+
+    def test_groups_together_hand_out_the_allowance_once(self) -> None:
+        # An organisation got four bursts at once: each group had a bucket of
+        # its own and heard of the others' use a third of a second later.
+        uses = self.make_uses((800, 800, 800, 800))
+        buckets = [quotas.Quotas(0.0, -100.0) for _ in uses]
+        total = 0.0
+        for step in range(500):
+            for heard, bucket in zip(uses, buckets, strict=True):
+                part = heard.find_part(FESTIN, 800, 4)
+                if bucket.take(FESTIN, 10, 0.0, step / 100, part) is None:
+                    total += 10
+        self.assertLessEqual(total, 1000 + 5 * 1000 + 40)
+
+
+class TestGroupsOfPeers(testtools.TestCase):
+    """One of sixty-one hosts, as it hears the others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.mesh = mesh.Mesh(
+            HOSTS[0],
+            addresses.Address('127.0.0.1', 1),
+            (),
+            random.Random(1),
+        )
+        self.number = 0
+        self.hear_all(0.0)
+        self.near = [
+            host for host in HOSTS[1:] if self.mesh.partition.is_near(host)
+        ]
+        self.far = [host for host in HOSTS[1:] if host not in self.near]
+
+    def hear(self, host: ids.Host, now: float) -> None:
+        self.number += 1
+        self.mesh.take(
+            messages.HostState(
+                host=host,
+                incarnation=ids.Incarnation(f'{host}/1'),
+                state_address='127.0.0.1:9',
+                peers_address='127.0.0.1:9',
+                number=self.number,
+                is_stopping=False,
+                reads_store=True,
+                positions=[1, 1],
+                running={ids.Runner('r1'): 1},
+                usage={},
+                ranks={POOL: [waiting.Rank(0, 0, False, 1.0)]},
+                hints={},
+            ),
+            now,
+        )
+
+    def hear_all(self, now: float) -> None:
+        for host in HOSTS[1:]:
+            self.hear(host, now)
+
+    def test_only_near_peers_count(self) -> None:
+        self.hear_all(0.1)
+        count = self.mesh.count_running(ids.Runner('r1'))
+        self.assertEqual(len(self.near), count)
+        self.assertEqual(count, len(self.mesh.list_waiting(POOL)))
+        self.assertEqual(61, self.mesh.count_hosts())
+
+    def test_far_peer_that_is_heard_in_its_turn_is_not_silent(self) -> None:
+        for host in self.near:
+            self.hear(host, 5.0)
+        self.mesh.drop_silent(5.0)
+        self.assertEqual(60, len(self.mesh.list_heard()))
+        self.assertEqual(0.0, self.mesh.find_silent_share())
+
+    def test_silent_near_peer_keeps_its_share(self) -> None:
+        for host in self.near[1:]:
+            self.hear(host, 1.0)
+        self.mesh.drop_silent(1.0)
+        share = 1 / (1 + len(self.near))
+        self.assertAlmostEqual(share, self.mesh.find_silent_share())
+
+    def test_far_peers_that_are_gone_are_dropped_in_the_end(self) -> None:
+        for host in self.near:
+            self.hear(host, 60.0)
+        self.mesh.drop_silent(60.0)
+        self.assertEqual(len(self.near), len(self.mesh.peers))
