Add a randomized soak of real gateways with faults from outside

Cause: the tests bring about one failure at a time; the users ask for a soak whose signals, cuts, outages and changes overlap.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,13 @@
 matrix: .venv/installed
 	$(BIN)/python tests/run_matrix.py
 
+# Randomized faults against real processes, with fresh seeds.
+SEEDS ?= 50
+.PHONY: soak
+soak: .venv/installed
+	PYTHONPATH=platform/tests:tests $(BIN)/python \
+		platform/tests/run_soak.py --seeds $(SEEDS)
+
 # The slopes of docs/CAPACITY.md, and the comparison of policies.
 .PHONY: capacity compare
 capacity: .venv/installed
--- a/packages/apricotstandins/src/apricotstandins/tcprelay.py
+++ b/packages/apricotstandins/src/apricotstandins/tcprelay.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 import json
+import socket
+import struct
 import typing as ty
 
 import anyio
@@ -19,6 +21,8 @@
 __all__ = ['Relay', 'parse_route']
 
 _PART = 65_536
+# Closing with this option resets a connection: on, and zero seconds.
+_RESET = struct.pack('ii', 1, 0)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -34,6 +38,8 @@
     # Added to each part, in seconds.
     delay_s: float = 0.0
     healed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    # Set when all connections of now are reset.
+    ended: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def change(self, faults: dict[str, ty.Any]) -> None:
         self.is_cut_forward = faults.get('cut_forward', False)
@@ -42,6 +48,11 @@
         healed, self.healed = self.healed, anyio.Event()
         healed.set()
 
+    def reset(self) -> None:
+        """Reset all connections."""
+        ended, self.ended = self.ended, anyio.Event()
+        ended.set()
+
     async def pass_cut(self, is_forward: bool) -> None:
         """Wait while this direction is cut."""
         while self.is_cut_forward if is_forward else self.is_cut_back:
@@ -97,10 +108,24 @@
                 async with far, anyio.create_task_group() as group:
                     group.start_soon(_pump, route, near, far, True, group)
                     group.start_soon(_pump, route, far, near, False, group)
+                    group.start_soon(_wait_reset, route, near, far, group)
 
         return handle
 
 
+async def _wait_reset(
+    route: Route,
+    near: anyio.abc.SocketStream,
+    far: anyio.abc.SocketStream,
+    group: anyio.abc.TaskGroup,
+) -> None:
+    await route.ended.wait()
+    for stream in (near, far):
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    group.cancel_scope.cancel()
+
+
 async def _pump(
     route: Route,
     source: anyio.abc.ByteStream,
