Split from the exchange what callers get and what routes are like

Change: replies.Reply sends an answer to a caller, habits.Habits learns from the requests of a route; Parts holds one of it instead of two dicts.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -34,10 +34,12 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
+from apricotlandingd.gateway import habits
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import measures
 from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import quotas
+from apricotlandingd.gateway import replies
 from apricotlandingd.gateway import runnerclient
 from apricotlandingd.gateway import scheduler
 from apricotlandingd.gateway import secondsends
@@ -68,14 +70,7 @@
 # Objectives for which a request may wait. What waits for longer is late for
 # its caller and in the way of those that are not.
 PATIENCE_OBJECTIVES = 1.0
-# A caller with less of its time left than this part of what callers of its
-# route have is one that comes back after a refusal.
-RETURN_PART = 0.97
 FAILED_STATUS = 500
-# Events of an answer, before the first answer of a route has ended, and the
-# weight of the newest answer in the mean.
-FIRST_EVENTS = 50.0
-EVENTS_WEIGHT = 0.05
 
 
 class _End(enum.Enum):
@@ -114,10 +109,7 @@
     ]
     is_stopping: collections.abc.Callable[[], bool]
     on_change: collections.abc.Callable[[], None]
-    # Longest time that callers of a route have given, by route.
-    usual_limits: dict[ids.Route, float]
-    # Mean number of events in an answer, by route.
-    usual_events: dict[ids.Route, float]
+    habits: habits.Habits
 
 
 @ty.final
@@ -135,7 +127,7 @@
         self._parts = parts
         self._scope = scope
         self._receive = receive
-        self._send = send
+        self._reply = replies.Reply(send, parts.spoken, parts.is_stopping)
         self._arrived_at = clocks.read_monotonic()
         self._method: str = scope['method']
         self._target = _find_target(scope)
@@ -149,13 +141,14 @@
         self._event_tokens = 1.0
         # Of the configuration that the request was admitted under.
         self._version: ids.Version | None = None
+        # Seconds that the caller gives, and when its time or its route's ends.
+        self._given_s = 0.0
         self._limit_at = 0.0
         # Runners that bytes of this request went to.
         self._sends = 0
         self._may_have_run = False
         self._has_second_send = False
         self._tried: set[ids.Runner] = set()
-        self._is_answer_begun = False
         # A failure that a runner answered, for when no other does better.
         self._fallback: tuple[dialect.AnswerHead, bytes] | None = None
         self._reader: streams.EventReader | None = None
@@ -163,7 +156,6 @@
         # Seconds spent waiting for places.
         self._waited_s = 0.0
         self._runner: ids.Runner | None = None
-        self._outcome = 'gone'
         self._detail = ''
 
     async def run(self) -> None:
@@ -175,7 +167,8 @@
                 return
             await self._serve_until_gone()
         except asgi.Disconnected:
-            self._outcome = 'gone'
+            # The caller left before its request had arrived.
+            return
         finally:
             self._finish(clocks.read_monotonic())
 
@@ -220,11 +213,10 @@
 
     def _admit_by_time(self, now: float) -> errors.Problem | None:
         deadline = self._head.deadline_s
-        given = self._route.timeout_s if deadline is None else deadline
-        limit = min(given, self._route.timeout_s)
+        self._given_s = self._route.timeout_s if deadline is None else deadline
+        limit = min(self._given_s, self._route.timeout_s)
         self._limit_at = self._arrived_at + limit
-        usual = self._parts.usual_limits.get(self._route.name, 0.0)
-        self._parts.usual_limits[self._route.name] = max(usual, given)
+        self._parts.habits.note_given(self._route.name, self._given_s)
         self._parts.second_sends.note_request(self._service, now)
         holder = self._organisation
         if holder is None:
@@ -315,9 +307,9 @@
     async def _give_up(self, problem: errors.Problem) -> None:
         # The last word when no runner answers: the failure that a runner
         # answered, "may have run", or the problem, which says "not run".
-        if self._fallback is not None and not self._is_answer_begun:
+        if self._fallback is not None and not self._reply.is_begun:
             head, body = self._fallback
-            await self._deliver(head, body)
+            await self._reply.deliver(head, body)
             return
         if self._may_have_run:
             await self._fail(
@@ -354,17 +346,18 @@
         route, head = self._route, self._head
         usual = self._parts.paces.find_usual(self._service)
         first = usual.find_first(head.prompt_tokens)
-        began = self._find_beginning()
+        began = self._parts.habits.find_beginning(
+            route.name, self._given_s, self._arrived_at
+        )
         on_time_by = began + route.objective_s - first
         useful_until = self._find_useful_end() - first
         tier = route.tier
         if self._organisation is not None:
             if self._organisation.tier is not None:
                 tier = self._organisation.tier
-        if self._is_answer_begun:
+        if self._reply.is_begun:
             # Half of the answer is with the caller already.
             tier = ids.Tier(-1)
-        ends_at = min(self._limit_at, self._arrived_at + self._find_given())
         return waiting.Ticket(
             attempt=head.attempt,
             service=self._service,
@@ -373,37 +366,15 @@
             arrived_at=now,
             on_time_by=on_time_by,
             useful_until=useful_until,
-            ends_at=ends_at,
+            ends_at=self._limit_at,
             prompt_tokens=head.prompt_tokens,
-            events=self._predict_events(),
+            events=self._parts.habits.predict_events(
+                route, head.expected_tokens, self._event_tokens
+            ),
             last_part=head.prefix[-1][0] if head.prefix else '',
             tried=self._tried,
         )
 
-    def _predict_events(self) -> float:
-        if not self._route.is_stream:
-            return 0.0
-        # The stated maximum says nothing: it is the same for all requests of
-        # a route. The caller's expectation is right in the median.
-        expected = self._head.expected_tokens
-        usual = self._parts.usual_events.get(self._route.name, FIRST_EVENTS)
-        if expected is None:
-            return usual
-        return expected / self._event_tokens
-
-    def _find_given(self) -> float:
-        deadline = self._head.deadline_s
-        return self._route.timeout_s if deadline is None else deadline
-
-    def _find_beginning(self) -> float:
-        # When the caller first asked: one that comes back after a refusal
-        # has less of its time left than callers of its route usually have.
-        usual = self._parts.usual_limits.get(self._route.name, 0.0)
-        given = self._find_given()
-        if given >= usual * RETURN_PART:
-            return self._arrived_at
-        return self._arrived_at - (usual - given)
-
     def _find_useful_end(self) -> float:
         if self._sends:
             # It was offered in time; now any answer is better than none.
@@ -596,7 +567,7 @@
             return _End.NOT_RUN
         if not head.is_sealed:
             raise webclient.Broken(f'status {head.status} without a mark')
-        if self._is_answer_begun or self._is_event_stream(head):
+        if self._reply.is_begun or self._is_event_stream(head):
             return await self._relay(entry, head, answer, guard, began_at)
         return await self._hold(entry, head, answer, began_at)
 
@@ -629,7 +600,7 @@
         self._parts.paces.note_first(
             self._service, entry.id, 0, now - began_at
         )
-        await self._deliver(head, body)
+        await self._reply.deliver(head, body)
         return _End.DONE
 
     async def _pass_on(
@@ -638,19 +609,13 @@
         parts: list[bytes],
         answer: runnerclient.Answer,
     ) -> _End:
-        await self._start(head, None)
-        await asgi.send_part(self._send, b''.join(parts))
+        await self._reply.begin(head)
+        await self._reply.pass_part(b''.join(parts))
         async for part in answer.iterate():
-            await asgi.send_part(self._send, part)
-        await asgi.send_part(self._send, b'', is_last=True)
-        self._outcome = 'answered'
+            await self._reply.pass_part(part)
+        await self._reply.finish(head)
         return _End.DONE
 
-    async def _deliver(self, head: dialect.AnswerHead, body: bytes) -> None:
-        self._outcome = f'answered {head.status}'
-        await self._start(head, len(body))
-        await asgi.send_part(self._send, body, is_last=True)
-
     async def _relay(
         self,
         entry: dialect.RunnerEntry,
@@ -680,15 +645,14 @@
             if self._can_leave():
                 gap = GAP_FACTOR * self._route.gap_objective_s
                 guard.extend(max(GAP_AT_LEAST, gap))
-            if not self._is_answer_begun:
-                await self._start(head, None)
-            await asgi.send_part(self._send, whole)
+            if not self._reply.is_begun:
+                await self._reply.begin(head)
+            await self._reply.pass_part(whole)
         if reader.has_partial():
             raise webclient.Broken('the stream ends within an event')
-        if not self._is_answer_begun:
-            await self._start(head, None)
-        await asgi.send_part(self._send, b'', is_last=True)
-        self._outcome = f'answered {head.status}'
+        if not self._reply.is_begun:
+            await self._reply.begin(head)
+        await self._reply.finish(head)
         self._note_end(entry, reader.count - before, first_at)
         return _End.DONE
 
@@ -716,56 +680,20 @@
             return
         rest = clocks.read_monotonic() - first_at
         self._parts.paces.note_rest(self._service, entry.id, events, rest)
-        usual = self._parts.usual_events.get(self._route.name, FIRST_EVENTS)
-        self._parts.usual_events[self._route.name] = (
-            usual + (events - usual) * EVENTS_WEIGHT
-        )
-
-    async def _start(
-        self, head: dialect.AnswerHead, length: int | None
-    ) -> None:
-        self._is_answer_begun = True
-        headers = [*head.passed, *self._list_closing()]
-        if length is not None:
-            headers.append((b'content-length', str(length).encode()))
-        await asgi.start_answer(self._send, head.status, headers)
-
-    def _list_closing(self) -> dialect.HeaderList:
-        # Tells the caller to open its next connection elsewhere.
-        if self._parts.is_stopping():
-            return [(b'connection', b'close')]
-        return []
+        self._parts.habits.note_events(self._route.name, events)
 
     # Answers of our own.
 
     async def _fail(self, problem: errors.Problem) -> None:
-        if self._is_answer_begun:
-            # Ending without the final mark is how the caller sees that the
-            # answer is not whole.
-            self._outcome = f'cut {problem.code}'
-            return
-        await self._write_problem(problem)
+        self._detail = self._detail or problem.text
+        await self._reply.fail(self._head.attempt, problem)
 
     async def _refuse(self, problem: errors.Problem) -> None:
         if self._organisation is not None and self._cost > 0:
             self._parts.quotas.give_back(self._organisation, self._cost)
             self._cost = 0.0
-        await self._write_problem(problem)
-
-    async def _write_problem(self, problem: errors.Problem) -> None:
-        self._outcome = f'{problem.status} {problem.code}'
         self._detail = self._detail or problem.text
-        body = f'{problem}\n'.encode()
-        headers = [
-            *self._parts.spoken.write_refusal(
-                self._head.attempt, problem.retry_after_s
-            ),
-            (b'content-type', b'text/plain; charset=utf-8'),
-            (b'content-length', str(len(body)).encode()),
-            *self._list_closing(),
-        ]
-        await asgi.start_answer(self._send, problem.status, headers)
-        await asgi.send_part(self._send, body, is_last=True)
+        await self._reply.write_problem(self._head.attempt, problem)
 
     def _finish(self, now: float) -> None:
         head = self._head
@@ -773,7 +701,7 @@
         first = None
         if self._first_at is not None:
             first = round(self._first_at - self._arrived_at, 4)
-        kind = self._outcome.partition(' ')[0]
+        kind = self._reply.outcome.partition(' ')[0]
         self._parts.measures.count('requests_total', outcome=kind)
         self._parts.measures.time('request_seconds', took, outcome=kind)
         if first is not None:
@@ -792,7 +720,7 @@
             tokens=[head.prompt_tokens, head.expected_tokens],
             given_s=head.deadline_s,
             waited_s=round(self._waited_s, 4),
-            outcome=self._outcome,
+            outcome=self._reply.outcome,
             detail=self._detail,
             first_s=first,
             took_s=round(took, 4),
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -37,6 +37,7 @@
 from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import exchange
 from apricotlandingd.gateway import groupuses
+from apricotlandingd.gateway import habits
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import listener
 from apricotlandingd.gateway import measures
@@ -186,8 +187,7 @@
             find_group_part=self._find_group_part,
             is_stopping=lambda: self._is_stopping,
             on_change=self._mesh.tell,
-            usual_limits={},
-            usual_events={},
+            habits=habits.Habits(),
         )
         self._listener = listener.Listener(
             parts,
