Send to other groups' places when the own ones are full

Cause: groups of hosts have runners to themselves, but callers and slow runners do not spread evenly over them.

Change: states for far hosts tell the runners with places to spare, for which nothing waits; a group that is full uses those with more than two (spares).

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
@@ -90,6 +90,10 @@
             if place.entry.service == service and not place.entry.is_draining
         ]
 
+    def list_services(self) -> set[ids.Pool]:
+        """Return the services that have runners."""
+        return {place.entry.service for place in self._places.values()}
+
     def list_all(self) -> list[dialect.RunnerEntry]:
         """Return all runners that are known."""
         return [place.entry for place in self._places.values()]
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -381,6 +381,9 @@
         if self._mesh.partition.count > 1 and scope is not mesh.Scope.CHANGES:
             asked = self._quotas.list_asked(now)
             group_asked = self._sum_asked(asked)
+        spare: dict[ids.Runner, int] = {}
+        if scope is mesh.Scope.FAR:
+            spare = self._scheduler.list_spare(now)
         running: dict[ids.Runner, int] = {}
         ranks: dict[ids.Pool, list[waiting.Rank]] = {}
         if scope is not mesh.Scope.FAR:
@@ -401,6 +404,7 @@
             hints=hints,
             asked=asked,
             group_asked=group_asked,
+            spare=spare,
         )
 
     def _list_ranks(self, now: float) -> dict[ids.Pool, list[waiting.Rank]]:
@@ -432,9 +436,9 @@
             self._quotas.hear(state.incarnation, state.usage, now)
         else:
             self._quotas.skip(state.incarnation, state.usage)
-            self._group_uses.hear(
-                self._mesh.partition.find_group(state.host), state.group_asked
-            )
+            group = self._mesh.partition.find_group(state.host)
+            self._group_uses.hear(group, state.group_asked)
+            self._scheduler.spares.hear(group, state.spare, now)
         if records.is_ahead(state.positions, self._board.positions):
             self._peer_ahead.set()
         if now - self._pumped_at >= PEER_PUMP_INTERVAL:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/messages.py
@@ -59,6 +59,9 @@
     group_asked: dict[ids.Organisation, float] = dataclasses.field(
         default_factory=dict
     )
+    # Free places at runners of this host's group for which nothing waits
+    # there; only in states for hosts of other groups.
+    spare: dict[ids.Runner, int] = dataclasses.field(default_factory=dict)
 
 
 @registry.register(2)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -23,6 +23,7 @@
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import placement
+from apricotlandingd.gateway import spares
 from apricotlandingd.gateway import waiting
 
 __all__ = ['Others', 'Scheduler']
@@ -120,6 +121,7 @@
         spread: random.Random,
     ) -> None:
         """Start without requests."""
+        self.spares = spares.Spares()
         self._runners = runners
         self._paces = paces
         self._health = fitness
@@ -230,6 +232,8 @@
             self._health.list_avoided([entry.id for entry in entries], now),
         )
         self._grant(service, queue, view, now)
+        if view.count_free() <= 0:
+            self._borrow(service, queue, now)
         self._refuse(service, queue, view, now)
 
     def _list_usable(
@@ -276,6 +280,43 @@
         if not is_yielding:
             self._yielded_at.pop(service, None)
 
+    def _borrow(self, service: ids.Pool, queue: '_Queue', now: float) -> None:
+        # Own places are full: what waits goes where other groups have some.
+        free = self.spares.list_runners(now)
+        if not free:
+            return
+        entries = [
+            entry
+            for entry in self._runners.list_open(service)
+            if entry.id in free and not self._health.is_closed(entry.id, now)
+        ]
+        view = _View(entries, free, set())
+        for ticket, _ in queue.iterate():
+            if ticket.decision is not None:
+                continue
+            option = self._choose(ticket, view, now)
+            if option is None:
+                continue
+            free[option.runner] -= 1
+            self.spares.take(option.runner)
+            self.leave(ticket)
+            self.running[option.runner] += 1
+            ticket.decide(waiting.Grant(option.runner))
+
+    def list_spare(self, now: float) -> dict[ids.Runner, int]:
+        """Return free places of services for which nothing waits."""
+        found: dict[ids.Runner, int] = {}
+        for service in self._runners.list_services():
+            if self._waiting.get(service) or self._others.list_waiting(
+                service
+            ):
+                continue
+            for entry in self._list_usable(service, now):
+                count = self._count_free(entry, now)
+                if count > spares.LEFT_PLACES:
+                    found[entry.id] = count
+        return found
+
     def _is_yield_over(self, service: ids.Pool, now: float) -> bool:
         since = self._yielded_at.setdefault(service, now)
         return now - since > YIELD_TIME
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/spares.py
@@ -0,0 +1,64 @@
+"""Places that other groups of hosts can spare.
+
+Groups have runners to themselves, but neither callers nor fast and slow
+runners spread evenly over them: by chance one group is full while the next has
+places free. So a host tells hosts of other groups where its group has places
+to spare, and one whose group is full sends there instead of letting a request
+wait.
+
+What is told is some tenths of a second old, and the owners of the runner learn
+of the request only by the load that the runner states. Hence only runners with
+several free places count, and few of them are used: a runner that is filled
+all the same queues one request for a moment.
+"""
+
+import typing as ty
+
+from apricotlanding import ids
+
+__all__ = ['Spares']
+
+# Free places of a runner that stay with its group: two arrive there in the
+# time that the news is old, at the most that such a runner gets.
+LEFT_PLACES = 2
+# Seconds for which the news is used. Each group is heard some three times a
+# second, so it is replaced before.
+NEWS_TIME = 0.6
+
+
+@ty.final
+class Spares:
+    """What other groups can spare, as this host heard last."""
+
+    def __init__(self) -> None:
+        """Start without any news."""
+        # By group: when it was heard, and the places that may be used.
+        self._news: dict[int, tuple[float, dict[ids.Runner, int]]] = {}
+
+    def hear(
+        self, group: int, spare: dict[ids.Runner, int], now: float
+    ) -> None:
+        """Take what a host of another group says of its group."""
+        usable = {
+            runner: count - LEFT_PLACES
+            for runner, count in spare.items()
+            if count > LEFT_PLACES
+        }
+        self._news[group] = (now, usable)
+
+    def list_runners(self, now: float) -> dict[ids.Runner, int]:
+        """Return the runners that may be used, with their places."""
+        found: dict[ids.Runner, int] = {}
+        for heard_at, places in self._news.values():
+            if now - heard_at < NEWS_TIME:
+                found.update(places)
+        return found
+
+    def take(self, runner: ids.Runner) -> None:
+        """Use one place."""
+        for _, places in self._news.values():
+            if runner not in places:
+                continue
+            places[runner] -= 1
+            if places[runner] <= 0:
+                del places[runner]
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -9,11 +9,16 @@
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import groups
 from apricotlandingd.gateway import groupuses
+from apricotlandingd.gateway import health
 from apricotlandingd.gateway import mesh
 from apricotlandingd.gateway import messages
+from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import quotas
+from apricotlandingd.gateway import scheduler
+from apricotlandingd.gateway import spares
 from apricotlandingd.gateway import waiting
 
 POOL = ids.Pool('pool')
@@ -53,6 +58,21 @@
     ]
 
 
+class FullOthers:
+    """Peers of one of two groups, which use and want nothing."""
+
+    partition = groups.Partition(2, 0)
+
+    def count_running(self, runner: ids.Runner) -> int:
+        return 0
+
+    def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
+        return []
+
+    def find_silent_share(self) -> float:
+        return 0.0
+
+
 class TestPartition(testtools.TestCase):
     """Sixty-one hosts."""
 
@@ -210,3 +230,103 @@
             self.hear(host, 60.0)
         self.mesh.drop_silent(60.0)
         self.assertEqual(len(self.near), len(self.mesh.peers))
+
+
+class TestSpares(testtools.TestCase):
+    """Places that another group can spare."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.spares = spares.Spares()
+        self.runner = ids.Runner('i-9')
+
+    def test_some_places_stay_with_their_group(self) -> None:
+        self.spares.hear(1, {self.runner: spares.LEFT_PLACES + 3}, 0.0)
+        self.assertEqual({self.runner: 3}, self.spares.list_runners(0.1))
+        self.spares.hear(1, {self.runner: spares.LEFT_PLACES}, 0.2)
+        self.assertEqual({}, self.spares.list_runners(0.2))
+
+    def test_place_is_used_once(self) -> None:
+        self.spares.hear(1, {self.runner: spares.LEFT_PLACES + 1}, 0.0)
+        self.spares.take(self.runner)
+        self.assertEqual({}, self.spares.list_runners(0.1))
+
+    def test_old_news_is_not_used(self) -> None:
+        # The group filled up, and then could not be heard for a while.
+        self.spares.hear(1, {self.runner: 7}, 0.0)
+        self.assertEqual({}, self.spares.list_runners(spares.NEWS_TIME + 0.1))
+
+
+class TestBorrowing(testtools.TestCase):
+    """A host whose group has half of eight runners to itself."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.others = FullOthers()
+        known = directory.Directory(2.0)
+        for entry in make_entries(8, slots=4):
+            known.update(entry)
+        self.scheduler = scheduler.Scheduler(
+            known,
+            pace.Paces(),
+            health.Health(),
+            self.others,
+            random.Random(1),
+        )
+        own = self.others.partition.select_runners(known.list_open(POOL))
+        self.own = {entry.id for entry in own}
+        self.far = [
+            entry.id
+            for entry in known.list_open(POOL)
+            if entry.id not in self.own
+        ]
+        self.count = 0
+
+    def enter(self) -> waiting.Ticket:
+        self.count += 1
+        ticket = waiting.Ticket(
+            attempt=f'a{self.count}',
+            service=POOL,
+            tier=ids.Tier(0),
+            route_tier=ids.Tier(0),
+            arrived_at=0.0,
+            on_time_by=1.0,
+            useful_until=1.0,
+            ends_at=10.0,
+            prompt_tokens=100,
+            events=10,
+            last_part='',
+        )
+        self.scheduler.enter(ticket, 0.0)
+        return ticket
+
+    def find_runner(self, ticket: waiting.Ticket) -> ids.Runner | None:
+        decision = ticket.decision
+        return decision.runner if isinstance(decision, waiting.Grant) else None
+
+    def test_own_places_are_used_first(self) -> None:
+        self.scheduler.spares.hear(1, dict.fromkeys(self.far, 4), 0.0)
+        used = {self.find_runner(self.enter()) for _ in range(16)}
+        self.assertEqual(self.own, used)
+
+    def test_full_group_sends_to_a_spare_place(self) -> None:
+        # Callers were refused at one group while runners of the next one
+        # were idle: neither callers nor fast runners spread evenly.
+        for _ in range(16):
+            self.enter()
+        self.assertIsNone(self.enter().decision)
+        self.scheduler.spares.hear(1, {self.far[0]: 4}, 0.0)
+        self.scheduler.pump(0.0)
+        self.assertEqual(self.far[0], self.find_runner(self.enter()))
+
+    def test_spare_places_are_not_overfilled(self) -> None:
+        self.scheduler.spares.hear(1, {self.far[0]: 4}, 0.0)
+        found = [self.find_runner(self.enter()) for _ in range(30)]
+        count = 4 - spares.LEFT_PLACES
+        self.assertEqual(count, found.count(self.far[0]))
+
+    def test_only_what_nobody_waits_for_is_told(self) -> None:
+        self.assertEqual(self.own, set(self.scheduler.list_spare(0.0)))
+        for _ in range(17):
+            self.enter()
+        self.assertEqual({}, self.scheduler.list_spare(0.0))
