Take changed settings without a signal, and their bounds

Cause: the platform may write the settings with a signal or without; only SIGHUP was heeded, and the operators' bounds were those of the start.

Change: the file's time of change is looked at each second; drain time, slack of allowances and the budget of second sends count from then on. A file that cannot be read changes nothing.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/directory.py
@@ -41,12 +41,17 @@
         ``drain_s`` is the time after which a runner that has left gets
         nothing more, in seconds.
         """
-        self._keep_s = max(0.0, drain_s - DRAIN_MARGIN)
+        self._keep_s = 0.0
+        self.set_drain_time(drain_s)
         self._places: dict[ids.Runner, _Place] = {}
         self._outage_at: float | None = None
         # Counts the changes, for those who keep what they derive from it.
         self.changes = 0
 
+    def set_drain_time(self, drain_s: float) -> None:
+        """Take the operators' bound, in seconds."""
+        self._keep_s = max(0.0, drain_s - DRAIN_MARGIN)
+
     def note_outage(self, now: float) -> None:
         """Say that the store was not reached just now."""
         self._outage_at = now
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -9,6 +9,7 @@
     ├── catch-up     takes records from a peer that is ahead
     ├── join         finds the other hosts
     ├── pump         decides what waits, by time
+    ├── settings     reads the settings again when they were written
     └── signals      SIGTERM stops, SIGHUP reads the settings again
 
 Stopping: not ready at once, so that the balancer sends no new connections;
@@ -19,6 +20,7 @@
 
 import collections
 import collections.abc
+import dataclasses
 import random
 import signal
 import typing as ty
@@ -81,6 +83,8 @@
 STORE_REACHED = 6.0
 # Seconds that a peer's news may take by the store itself before it is asked.
 CATCH_UP_PATIENCE = 0.05
+# Seconds between looks at the settings file.
+SETTINGS_INTERVAL = 1.0
 # Seconds between tries to state this host and read the others.
 JOIN_INTERVAL = 1.0
 
@@ -95,16 +99,19 @@
         spoken: dialect.Dialect,
         store: dialect.Store,
         reload: collections.abc.Callable[[], settings.GatewaySettings],
+        read_stamp: collections.abc.Callable[[], int],
     ) -> None:
         """Build all parts and bind all addresses.
 
-        ``reload`` reads the settings again. Raises OSError if an address
+        ``reload`` reads the settings again; ``read_stamp`` returns a number
+        that changes when they were written. Raises OSError if an address
         cannot be bound.
         """
         self._settings = config
         self._dialect = spoken
         self._store = store
         self._reload = reload
+        self._read_stamp = read_stamp
         self._spread = random.Random()
         self._catalogue: catalogue.Catalogue | None = None
         self._is_stopping = False
@@ -160,6 +167,9 @@
             bounds.quota_slack, clocks.read_monotonic()
         )
         self._group_uses = groupuses.GroupUses()
+        self._second_sends = secondsends.SecondSends(
+            bounds.resend_share, bounds.resend_slack, bounds.resend_window_s
+        )
         self._scheduler = scheduler.Scheduler(
             self._directory,
             self._paces,
@@ -170,11 +180,7 @@
         parts = exchange.Parts(
             spoken=self._dialect,
             quotas=self._quotas,
-            second_sends=secondsends.SecondSends(
-                bounds.resend_share,
-                bounds.resend_slack,
-                bounds.resend_window_s,
-            ),
+            second_sends=self._second_sends,
             scheduler=self._scheduler,
             directory=self._directory,
             health=self._health,
@@ -228,6 +234,7 @@
             tree.start('pump', self._pump_forever)
             tree.start('tidy', self._tidy_forever)
             tree.start('signals', self._watch_signals)
+            tree.start('settings', self._watch_settings)
             eliot.log_message('gateway:started', incarnation=self.incarnation)
             await self._stop_asked.wait()
             await self._drain()
@@ -496,19 +503,41 @@
                     continue
                 self.stop()
 
+    async def _watch_settings(self) -> None:
+        # The platform writes new settings with a signal or without.
+        known = self._read_stamp()
+        while True:
+            await anyio.sleep(SETTINGS_INTERVAL)
+            stamp = self._read_stamp()
+            if stamp == known:
+                continue
+            known = stamp
+            self._read_settings()
+
     def _read_settings(self) -> None:
         try:
             found = self._reload()
         except Exception as error:
+            # Half a file, or one that is not for us: the settings in force
+            # stay.
             eliot.log_message('gateway:reload_failed', detail=str(error))
             return
+        is_changed = found != self._settings
         for seed in found.seeds:
             self._mesh.seek(
                 addresses.Address(seed.host, self._settings.state.port)
             )
-        eliot.log_message(
-            'gateway:reloaded', is_changed=found != self._settings
+        bounds = found.bounds
+        self._directory.set_drain_time(bounds.drain_s)
+        self._quotas.set_slack(bounds.quota_slack)
+        self._second_sends.set_bounds(
+            bounds.resend_share, bounds.resend_slack, bounds.resend_window_s
+        )
+        # Addresses are those that the process is bound to.
+        self._settings = dataclasses.replace(
+            self._settings, seeds=found.seeds, bounds=bounds
         )
+        eliot.log_message('gateway:reloaded', is_changed=is_changed)
 
     async def _drain(self) -> None:
         self._is_stopping = True
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/quotas.py
@@ -74,7 +74,8 @@
         that ask for what they always do.
         """
         self._started_at = now
-        self._slack = slack_units * SLACK_SHARE
+        self._slack = 0.0
+        self.set_slack(slack_units)
         self._buckets: dict[ids.Organisation, _Bucket] = {}
         # What this process handed out.
         self.usage: Usage = {}
@@ -83,6 +84,10 @@
         # What each peer's process said last.
         self._heard: dict[ids.Incarnation, Usage] = {}
 
+    def set_slack(self, slack_units: float) -> None:
+        """Take the operators' slack."""
+        self._slack = slack_units * SLACK_SHARE
+
     def find_cost(
         self, organisation: catalogue.Organisation, tokens: int | None
     ) -> float:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/secondsends.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/secondsends.py
@@ -24,12 +24,16 @@
     """Second sends of this host, by service."""
 
     def __init__(self, share: float, slack: float, window_s: float) -> None:
+        """Take the operators' bounds: see ``settings.Bounds``."""
+        self.set_bounds(share, slack, window_s)
+        self._requests: dict[ids.Pool, collections.deque[float]] = {}
+        self._resends: dict[ids.Pool, collections.deque[float]] = {}
+
+    def set_bounds(self, share: float, slack: float, window_s: float) -> None:
         """Take the operators' bounds: see ``settings.Bounds``."""
         self._share = share
         self._slack = slack
         self._window = window_s
-        self._requests: dict[ids.Pool, collections.deque[float]] = {}
-        self._resends: dict[ids.Pool, collections.deque[float]] = {}
 
     def note_request(self, service: ids.Pool, now: float) -> None:
         """Count a request of a caller."""
