End a planned stop only after nothing was open for a while

The host looked whether requests were open, found none, and waited 0.15 s more; the server closes idle connections only at its next look, up to 0.1 s after it was told to. A request that came on a kept connection between was begun and cut by the end of the process.

Change: nothing may have been open for 0.25 s on end.

The new test was seen failing. The first version of it passed without the change, because connections outlive the gateway in one process; it asks for that now.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -67,9 +67,10 @@
 # Seconds after SIGTERM in which new connections may still arrive: the
 # balancer asks once a second and acts on the second answer.
 STOP_NOTICE = 2.5
-# Seconds between looks at what is still open, and after the last of it.
+# Seconds between looks at what is still open, and for which nothing must be:
+# the server looks each tenth of a second whether it is to end.
 STOP_LOOK = 0.05
-STOP_QUIET = 0.15
+STOP_QUIET = 0.25
 # Part of the grace after which a stopping process ends although requests
 # are open: they would be cut by the kill that follows.
 STOP_PART = 0.94
@@ -539,6 +540,18 @@
         )
         eliot.log_message('gateway:reloaded', is_changed=is_changed)
 
+    async def _wait_quiet(self) -> None:
+        # The server closes idle connections a tenth of a second after it was
+        # told to, and until then a request may come on one of them. Ending
+        # as soon as nothing is open would cut its answer; so nothing may have
+        # been open for longer than that. The last bytes of the last answer
+        # leave in this time too.
+        quiet_s = 0.0
+        while quiet_s < STOP_QUIET:
+            await anyio.sleep(STOP_LOOK)
+            is_open = self._listener.open_requests > 0
+            quiet_s = 0.0 if is_open else quiet_s + STOP_LOOK
+
     async def _drain(self) -> None:
         self._is_stopping = True
         self._mesh.tell()
@@ -552,8 +565,5 @@
         self._server.stop()
         left = self._settings.bounds.stop_grace_s * STOP_PART - STOP_NOTICE
         with anyio.move_on_after(left):
-            while self._listener.open_requests:
-                await anyio.sleep(STOP_LOOK)
-            # The last bytes of the last answer.
-            await anyio.sleep(STOP_QUIET)
+            await self._wait_quiet()
         eliot.log_message('gateway:drained', open=self._listener.open_requests)
