Play a load on several groups, without a network

Change: tests/groupload.py plays callers, fast and slow runners and news between five groups on simulated time; the test asks what callers get.

Conclusion: kept: it evens out the groups below overload, and covers a group whose runners fail together.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/spares.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/spares.py
@@ -6,6 +6,11 @@
 to spare, and one whose group is full sends there instead of letting a request
 wait.
 
+Played without a network (tests/groupload.py: five groups, 55 runners, uneven
+callers), at 0.9 of what the runners can do: 2.2% refused and 0.194 s of wait
+without this, none and 0.003 s with it; with one group's runners gone at 0.6,
+20% refused without it and none with it.
+
 What is told is some tenths of a second old, and the owners of the runner learn
 of the request only by the load that the runner states. Hence only runners with
 several free places count, and few of them are used: a runner that is filled
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -20,6 +20,7 @@
 from apricotlandingd.gateway import scheduler
 from apricotlandingd.gateway import spares
 from apricotlandingd.gateway import waiting
+import groupload
 
 POOL = ids.Pool('pool')
 HOSTS = [ids.Host(f'host-{number}') for number in range(61)]
@@ -330,3 +331,32 @@
         for _ in range(17):
             self.enter()
         self.assertEqual({}, self.scheduler.list_spare(0.0))
+
+
+class TestLoadOnGroups(testtools.TestCase):
+    """What callers get of five groups; see ``groupload``.
+
+    Before and after groups told what they can spare: at 0.9 of what the
+    runners can do, 2.2% of the callers were refused and the others waited for
+    0.194 s in the mean, now none and 0.003 s; at 0.6 with all runners of one
+    group gone, 20.0% were refused, now none.
+    """
+
+    def test_uneven_callers_wait_less(self) -> None:
+        alone = groupload.play_groups(0.9, False, None)
+        told = groupload.play_groups(0.9, True, None)
+        self.assertLess(told.refused, alone.refused / 4)
+        self.assertLess(told.waited_s, alone.waited_s / 10)
+
+    def test_callers_of_a_group_without_runners_are_served(self) -> None:
+        # All runners of one group crashed, and its callers were refused
+        # while two places in five were free elsewhere.
+        alone = groupload.play_groups(0.6, False, 2)
+        told = groupload.play_groups(0.6, True, 2)
+        self.assertGreater(alone.refused, 0.15 * alone.asked)
+        self.assertLess(told.refused, 0.01 * told.asked)
+
+    def test_overload_is_not_made_worse(self) -> None:
+        alone = groupload.play_groups(1.2, False, None)
+        told = groupload.play_groups(1.2, True, None)
+        self.assertLessEqual(told.refused, alone.refused)
