Measure the scheduler's slopes with as many waiting as the table says

Cause: a host of sixty now has a part of the runners; filling all of them left hundreds waiting where the row says twenty.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import functools
+import itertools
 import random
 import statistics
 import time
@@ -111,12 +112,16 @@
     """Return microseconds for one release and the grant that follows."""
     found = make_scheduler(runners, make_mesh(peers, 0))
     granted: list[ids.Runner] = []
-    for number in range(runners * SLOTS + waiting_count):
-        ticket = make_ticket(number)
+    numbers = itertools.count()
+    left = waiting_count + 1
+    # A group of hosts has a part of the runners: full when one waits.
+    while left > 0:
+        ticket = make_ticket(next(numbers))
         found.enter(ticket, 0.0)
         if isinstance(ticket.decision, waiting.Grant):
             granted.append(ticket.decision.runner)
-    numbers = iter(range(10**9))
+        else:
+            left -= 1
 
     def step() -> None:
         runner = granted[next(numbers) % len(granted)]
@@ -153,7 +158,7 @@
             f' read | {write:.0f} / {read:.0f} |'
         )
     found = make_mesh(60, 10)
-    numbers = iter(range(2, 10**9))
+    numbers = itertools.count(2)
     take = time_call(lambda: found.take(make_state(1, next(numbers), 10), 0.0))
     print(f'| state taken, 60 peers | {take:.0f} |')
 
