--- a/tests/groupload.py
+++ b/tests/groupload.py
@@ -10,19 +10,17 @@
 import itertools
 import random
 
-from apricotlanding import addresses
 from apricotlanding import ids
-from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import groups
 from apricotlandingd.gateway import health
 from apricotlandingd.gateway import pace
 from apricotlandingd.gateway import scheduler
 from apricotlandingd.gateway import waiting
+import gatewayparts
 
 __all__ = ['Outcome', 'play_groups']
 
-POOL = ids.Pool('pool')
 GROUPS = 5
 RUNNERS = 55
 SLOTS = 7
@@ -70,16 +68,7 @@
     spread = random.Random(7)
     known = directory.Directory(2.0)
     for number in range(RUNNERS):
-        known.update(
-            dialect.RunnerEntry(
-                id=ids.Runner(f'i-{number}'),
-                service=POOL,
-                address=addresses.Address('127.0.0.1', 1),
-                domain=ids.Domain('d'),
-                slots=SLOTS,
-                is_draining=False,
-            )
-        )
+        known.update(gatewayparts.make_entry(f'i-{number}', SLOTS))
     holds = {
         entry.id: SLOW_HOLD if number % 3 == 0 else FAST_HOLD
         for number, entry in enumerate(known.list_all())
@@ -87,7 +76,7 @@
     fitness = health.Health()
     if lost_group is not None:
         gone = groups.Partition(GROUPS, lost_group)
-        for entry in gone.select_runners(known.list_open(POOL)):
+        for entry in gone.select_runners(known.list_open(gatewayparts.POOL)):
             fitness.note_gone(entry.id)
     schedulers = [
         scheduler.Scheduler(
@@ -147,7 +136,7 @@
             gap = spread.expovariate(rate * CALLERS[group])
             push(now + gap, 'come', group)
         elif what == 'end':
-            found.release(POOL, runner, now)
+            found.release(gatewayparts.POOL, runner, now)
         elif what == 'pump':
             found.pump(now)
             push(now + 0.02, 'pump', group)
@@ -165,7 +154,7 @@
 def _make_ticket(number: int, now: float) -> waiting.Ticket:
     return waiting.Ticket(
         attempt=f'a{number}',
-        service=POOL,
+        service=gatewayparts.POOL,
         tier=ids.Tier(0),
         route_tier=ids.Tier(0),
         arrived_at=now,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -8,7 +8,6 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
-from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import groups
@@ -23,30 +22,9 @@
 from apricotlandingd.gateway import streams
 from apricotlandingd.gateway import waiting
 from apricotstandins import processes
+import gatewayparts
 
-POOL = ids.Pool('pool')
-FESTIN = catalogue.Organisation(
-    name=ids.Organisation('festin'),
-    keys=frozenset(),
-    tier=None,
-    units_per_s=100.0,
-    burst_units=100.0,
-    counts_tokens=True,
-    default_tokens=10.0,
-)
-
-
-def make_entry(
-    name: str, slots: int = 2, is_draining: bool = False
-) -> dialect.RunnerEntry:
-    return dialect.RunnerEntry(
-        id=ids.Runner(name),
-        service=POOL,
-        address=addresses.Address('127.0.0.1', 1),
-        domain=ids.Domain('d1'),
-        slots=slots,
-        is_draining=is_draining,
-    )
+FESTIN = gatewayparts.make_organisation(100.0)
 
 
 class QuietOthers:
@@ -76,7 +54,7 @@
         self.others = QuietOthers()
         self.runners = directory.Directory(2.0)
         for name in ('r1', 'r2'):
-            self.runners.update(make_entry(name))
+            self.runners.update(gatewayparts.make_entry(name))
         self.health = health.Health()
         self.paces = pace.Paces()
         self.scheduler = scheduler.Scheduler(
@@ -98,7 +76,7 @@
         self.count += 1
         ticket = waiting.Ticket(
             attempt=f'a{self.count}',
-            service=POOL,
+            service=gatewayparts.POOL,
             tier=ids.Tier(tier),
             route_tier=ids.Tier(tier),
             arrived_at=now,
@@ -118,7 +96,7 @@
     def release(self, ticket: waiting.Ticket, now: float) -> None:
         grant = ticket.decision
         assert isinstance(grant, waiting.Grant)
-        self.scheduler.release(POOL, grant.runner, now)
+        self.scheduler.release(gatewayparts.POOL, grant.runner, now)
 
     def test_free_place_is_granted_at_once(self) -> None:
         for ticket in self.fill():
@@ -202,7 +180,9 @@
 
     def test_no_runner_is_waited_for_only_a_moment(self) -> None:
         for name in ('r1', 'r2'):
-            self.runners.update(make_entry(name, is_draining=True))
+            self.runners.update(
+                gatewayparts.make_entry(name, is_draining=True)
+            )
         ticket = self.enter(0.0)
         self.assertIsNone(ticket.decision)
         self.scheduler.pump(scheduler.EMPTY_WAIT + 0.1)
@@ -240,8 +220,12 @@
 
     def test_faster_runner_is_taken_first(self) -> None:
         for _ in range(5):
-            self.paces.note_first(POOL, ids.Runner('r1'), 100, 0.5)
-            self.paces.note_first(POOL, ids.Runner('r2'), 100, 0.05)
+            self.paces.note_first(
+                gatewayparts.POOL, ids.Runner('r1'), 100, 0.5
+            )
+            self.paces.note_first(
+                gatewayparts.POOL, ids.Runner('r2'), 100, 0.05
+            )
         grant = self.enter(0.0).decision
         assert isinstance(grant, waiting.Grant)
         self.assertEqual('r2', grant.runner)
@@ -339,11 +323,11 @@
     def setUp(self) -> None:
         super().setUp()
         self.runners = directory.Directory(2.0)
-        self.runners.update(make_entry('r1'))
+        self.runners.update(gatewayparts.make_entry('r1'))
 
     def is_open(self, now: float) -> bool:
         self.runners.expire(now)
-        return bool(self.runners.list_open(POOL))
+        return bool(self.runners.list_open(gatewayparts.POOL))
 
     def test_removed_runner_is_gone_at_once(self) -> None:
         self.runners.remove(ids.Runner('r1'), 10.0)
@@ -371,7 +355,7 @@
         self.assertFalse(self.is_open(11.6))
 
     def test_draining_runner_never_lapses(self) -> None:
-        self.runners.update(make_entry('r1', is_draining=True))
+        self.runners.update(gatewayparts.make_entry('r1', is_draining=True))
         self.runners.note_outage(9.9)
         self.runners.remove(ids.Runner('r1'), 10.0)
         self.assertIsNone(self.runners.find(ids.Runner('r1')))
@@ -431,21 +415,25 @@
     def test_hosts_together_keep_the_slack(self) -> None:
         hosts = [secondsends.SecondSends(0.2, 10.0, 10.0) for _ in range(2)]
         taken = sum(
-            host.take(POOL, 2, 0.0) for host in hosts for _ in range(20)
+            host.take(gatewayparts.POOL, 2, 0.0)
+            for host in hosts
+            for _ in range(20)
         )
         self.assertLessEqual(taken, 10)
         self.assertGreaterEqual(taken, 6)
 
     def test_share_of_the_requests_is_added(self) -> None:
         for _ in range(100):
-            self.budget.note_request(POOL, 0.0)
-        taken = sum(self.budget.take(POOL, 1, 0.0) for _ in range(100))
+            self.budget.note_request(gatewayparts.POOL, 0.0)
+        taken = sum(
+            self.budget.take(gatewayparts.POOL, 1, 0.0) for _ in range(100)
+        )
         self.assertEqual(24, taken)
 
     def test_window_slides(self) -> None:
-        while self.budget.take(POOL, 1, 0.0):
+        while self.budget.take(gatewayparts.POOL, 1, 0.0):
             continue
-        self.assertTrue(self.budget.take(POOL, 1, 11.0))
+        self.assertTrue(self.budget.take(gatewayparts.POOL, 1, 11.0))
 
 
 class TestEventReader(testtools.TestCase):
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -7,7 +7,6 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
-from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway import directory
 from apricotlandingd.gateway import groups
@@ -20,31 +19,16 @@
 from apricotlandingd.gateway import scheduler
 from apricotlandingd.gateway import spares
 from apricotlandingd.gateway import waiting
+import gatewayparts
 import groupload
 
-POOL = ids.Pool('pool')
 HOSTS = [ids.Host(f'host-{number}') for number in range(61)]
-FESTIN = catalogue.Organisation(
-    name=ids.Organisation('festin'),
-    keys=frozenset(),
-    tier=None,
-    units_per_s=1000.0,
-    burst_units=1000.0,
-    counts_tokens=True,
-    default_tokens=10.0,
-)
+FESTIN = gatewayparts.make_organisation(1000.0)
 
 
 def make_entries(count: int, slots: int = 7) -> list[dialect.RunnerEntry]:
     return [
-        dialect.RunnerEntry(
-            id=ids.Runner(f'i-{number}'),
-            service=POOL,
-            address=addresses.Address('127.0.0.1', 1),
-            domain=ids.Domain('d1'),
-            slots=slots,
-            is_draining=False,
-        )
+        gatewayparts.make_entry(f'i-{number}', slots)
         for number in range(count)
     ]
 
@@ -195,7 +179,7 @@
                 positions=[1, 1],
                 running={ids.Runner('r1'): 1},
                 usage={},
-                ranks={POOL: [waiting.Rank(0, 0, False, 1.0)]},
+                ranks={gatewayparts.POOL: [waiting.Rank(0, 0, False, 1.0)]},
                 hints={},
             ),
             now,
@@ -209,7 +193,7 @@
         self.hear_all(0.1)
         count = self.mesh.count_running(ids.Runner('r1'))
         self.assertEqual(len(self.near), count)
-        self.assertEqual(count, len(self.mesh.list_waiting(POOL)))
+        self.assertEqual(count, len(self.mesh.list_waiting(gatewayparts.POOL)))
         self.assertEqual(61, self.mesh.count_hosts())
 
     def test_far_peer_that_is_heard_in_its_turn_is_not_silent(self) -> None:
@@ -274,11 +258,13 @@
             self.others,
             random.Random(1),
         )
-        own = self.others.partition.select_runners(known.list_open(POOL))
+        own = self.others.partition.select_runners(
+            known.list_open(gatewayparts.POOL)
+        )
         self.own = {entry.id for entry in own}
         self.far = [
             entry.id
-            for entry in known.list_open(POOL)
+            for entry in known.list_open(gatewayparts.POOL)
             if entry.id not in self.own
         ]
         self.count = 0
@@ -287,7 +273,7 @@
         self.count += 1
         ticket = waiting.Ticket(
             attempt=f'a{self.count}',
-            service=POOL,
+            service=gatewayparts.POOL,
             tier=ids.Tier(0),
             route_tier=ids.Tier(0),
             arrived_at=0.0,
