--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
@@ -206,6 +206,20 @@
             if tickets
         }
 
+    def list_spare(self, now: float) -> dict[ids.Runner, int]:
+        """Return free places of services for which nothing waits."""
+        found: dict[ids.Runner, int] = {}
+        for service in self._runners.list_services():
+            if self._waiting.get(service) or self._others.list_waiting(
+                service
+            ):
+                continue
+            for entry in self._list_usable(service, now):
+                count = self._count_free(entry, now)
+                if count > spares.LEFT_PLACES:
+                    found[entry.id] = count
+        return found
+
     # Decisions.
 
     def pump(self, now: float) -> None:
@@ -274,9 +288,7 @@
                 continue
             left -= 1
             view.free[option.runner] -= 1
-            self.leave(ticket)
-            self.running[option.runner] += 1
-            ticket.decide(waiting.Grant(option.runner))
+            self._give(ticket, option.runner)
         if not is_yielding:
             self._yielded_at.pop(service, None)
 
@@ -299,23 +311,12 @@
                 continue
             free[option.runner] -= 1
             self.spares.take(option.runner)
-            self.leave(ticket)
-            self.running[option.runner] += 1
-            ticket.decide(waiting.Grant(option.runner))
+            self._give(ticket, option.runner)
 
-    def list_spare(self, now: float) -> dict[ids.Runner, int]:
-        """Return free places of services for which nothing waits."""
-        found: dict[ids.Runner, int] = {}
-        for service in self._runners.list_services():
-            if self._waiting.get(service) or self._others.list_waiting(
-                service
-            ):
-                continue
-            for entry in self._list_usable(service, now):
-                count = self._count_free(entry, now)
-                if count > spares.LEFT_PLACES:
-                    found[entry.id] = count
-        return found
+    def _give(self, ticket: waiting.Ticket, runner: ids.Runner) -> None:
+        self.leave(ticket)
+        self.running[runner] += 1
+        ticket.decide(waiting.Grant(runner))
 
     def _is_yield_over(self, service: ids.Pool, now: float) -> bool:
         since = self._yielded_at.setdefault(service, now)
