Say in the log what cut a request, how a stop goes, and when a process did not run

Cause: a planned stop cut two streams, and our logs could not tell why. A request that the end of its process cut was logged as 'gone', the word for a caller that left; the lines of a stop named open requests only; and nothing said that a process did not run for a while, though two requests had lain unread for 74 ms.

Change: such a request ends as 'stopped'. The lines of a stop count connections and unsent bytes too, and one more says when the listener closes. Timers that come 50 ms late or more are reported once a second and counted on the metrics address. No decision is changed.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -232,3 +232,14 @@
     def stop(self) -> None:
         """Close the listener; answers under way get a moment."""
         self._server.should_exit = True
+
+    def count_connections(self) -> int:
+        """Return the connections that are open, idle ones included."""
+        return len(self._server.server_state.connections)
+
+    def count_unsent(self) -> int:
+        """Return the bytes of answers that no socket has taken yet."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self._server.server_state.connections
+        )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
@@ -169,6 +169,11 @@
         except asgi.Disconnected:
             # The caller left before its request had arrived.
             return
+        except anyio.get_cancelled_exc_class():
+            # Only the end of the process cancels this task. Without a word
+            # of its own, the log would say that the caller left.
+            self._reply.outcome = 'stopped'
+            raise
         finally:
             self._finish(clocks.read_monotonic())
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -53,6 +53,7 @@
 from apricotlandingd.gateway import scheduler
 from apricotlandingd.gateway import secondsends
 from apricotlandingd.gateway import settings
+from apricotlandingd.gateway import stalls
 from apricotlandingd.gateway import waiting
 
 __all__ = ['Gateway']
@@ -162,6 +163,7 @@
         config = self._settings
         bounds = config.bounds
         self._measures = measures.Measures()
+        self._stalls = stalls.StallWatch()
         self._paces = pace.Paces()
         self._health = health.Health()
         self._quotas = quotas.Quotas(
@@ -214,6 +216,8 @@
             'open_requests': lambda: self._listener.open_requests,
             'peers_known': lambda: len(self._mesh.peers),
             'runner_connects_total': self._count_connects,
+            'stalls_total': lambda: self._stalls.count,
+            'stalled_seconds_total': lambda: self._stalls.seconds,
         }
 
     # Running.
@@ -471,8 +475,17 @@
 
     async def _pump_forever(self) -> None:
         while True:
+            due = clocks.read_monotonic() + PUMP_INTERVAL
             await anyio.sleep(PUMP_INTERVAL)
-            self._pump(clocks.read_monotonic())
+            now = clocks.read_monotonic()
+            if self._stalls.note(now - due, now):
+                eliot.log_message(
+                    'gateway:stalled',
+                    late_s=round(now - due, 4),
+                    count=self._stalls.count,
+                    seconds=round(self._stalls.seconds, 3),
+                )
+            self._pump(now)
 
     def _pump(self, now: float) -> None:
         self._pumped_at = now
@@ -555,15 +568,22 @@
     async def _drain(self) -> None:
         self._is_stopping = True
         self._mesh.tell()
-        eliot.log_message(
-            'gateway:stopping', open=self._listener.open_requests
-        )
+        self._log_stop('gateway:stopping')
         await anyio.sleep(STOP_NOTICE)
         # Kept connections that are unused are closed now: a request that a
         # caller sends on one of them later would be cut by the end of the
         # grace.
+        self._log_stop('gateway:listener_closing')
         self._server.stop()
         left = self._settings.bounds.stop_grace_s * STOP_PART - STOP_NOTICE
         with anyio.move_on_after(left):
             await self._wait_quiet()
-        eliot.log_message('gateway:drained', open=self._listener.open_requests)
+        self._log_stop('gateway:drained')
+
+    def _log_stop(self, kind: str) -> None:
+        eliot.log_message(
+            kind,
+            open=self._listener.open_requests,
+            connections=self._server.count_connections(),
+            unsent_bytes=self._server.count_unsent(),
+        )
