End a planned stop when no connection is left, not when no request is open

A stop ended some tenths of a second after a look that found no open request.

Ruled out: runners and links (both runs ended in one millisecond, before the callers' connections), the grace (2.65 of 8 s used), the server's own time limit for tasks (8 s).

Change: the server says when its listener is closed and its last connection gone, which includes that the socket has taken all that was sent; the stop waits for that, within the grace. The quiet time and the polling go. Notice and end are worked out in one place from the grace, so that a short grace is kept too. The server's own time limit, which was fixed at the start of the process and ended tasks whatever the settings said since, goes: its owner bounds it. The same cause in the daemon with the product's own interface, which slept 0.5 s after the last request, is mended by the same function.

Tried and left out: closing connections that the event loop reports after the listener's close.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -12,6 +12,7 @@
 import socket
 import typing as ty
 
+import anyio
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
@@ -193,14 +194,8 @@
 class Server:
     """An HTTP listener."""
 
-    def __init__(
-        self, app: App, *places: addresses.Address, stop_s: float = 2.0
-    ) -> None:
-        """Bind the addresses; OSError if that cannot be.
-
-        ``stop_s`` is how long answers under way get after ``stop``, in
-        seconds.
-        """
+    def __init__(self, app: App, *places: addresses.Address) -> None:
+        """Bind the addresses; OSError if that cannot be."""
         self._sockets = [bind_address(address) for address in places]
         self._config = config = uvicorn.Config(
             app,
@@ -217,22 +212,32 @@
             date_header=False,
             backlog=BACKLOG,
             timeout_keep_alive=10,
-            timeout_graceful_shutdown=math.ceil(stop_s),
+            # The owner bounds the wait, by ending the task of ``serve``.
+            timeout_graceful_shutdown=None,
         )
         self._server = _QuietServer(config)
+        self._ended = anyio.Event()
 
     async def serve(self) -> None:
-        """Serve until ``stop`` is called."""
+        """Serve until ``stop`` is called and no connection is left."""
         await self._server.serve(sockets=self._sockets)
+        self._ended.set()
 
     def set_idle_timeout(self, seconds: float) -> None:
         """Set how long connections made from now on may stay unused."""
         self._config.timeout_keep_alive = math.ceil(seconds)
 
     def stop(self) -> None:
-        """Close the listener; answers under way get a moment."""
+        """Close the listener and what is idle; answers under way go on."""
         self._server.should_exit = True
 
+    async def wait_ended(self) -> None:
+        """Wait until ``stop`` was called and no connection is left.
+
+        A connection is gone when the socket has taken all that was sent.
+        """
+        await self._ended.wait()
+
     def count_connections(self) -> int:
         """Return the connections that are open, idle ones included."""
         return len(self._server.server_state.connections)
--- a/packages/apricotlandingd/src/apricotlandingd/daemon.py
+++ b/packages/apricotlandingd/src/apricotlandingd/daemon.py
@@ -34,6 +34,7 @@
 from apricotlanding import ids
 from apricotlanding import metrics
 from apricotlanding import platformlog
+from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlanding import tracing
 from apricotlanding import wire
@@ -60,8 +61,9 @@
 
 CALL_TIMEOUT = 1.0
 REPORT_INTERVAL = 1.0
-# Seconds that callers get to read their final answers before the exit.
-LAST_WORDS = 0.5
+# Seconds that callers get at most to read their final answers before the
+# exit. A caller that takes 64 KB in this time is slower than any link here.
+LAST_WORDS = 2.0
 
 
 @ty.final
@@ -333,9 +335,10 @@
             if limit.cancelled_caught:
                 self.runs.stop_all()
                 await self.runs.wait_until_idle()
-        self._callers.stop()
-        self._operators.stop()
-        await anyio.sleep(LAST_WORDS)
+        # Nothing is in progress; what callers have not read yet still leaves.
+        async with anyio.create_task_group() as group:
+            for listener in (self._callers, self._operators):
+                group.start_soon(shutdown.finish, listener, LAST_WORDS)
         eliot.log_message('daemon:stopped')
 
     async def _hand_over(self) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
@@ -13,9 +13,9 @@
     └── signals      SIGTERM stops, SIGHUP reads the settings again
 
 Stopping: not ready at once, so that the balancer sends no new connections;
-those that are open are served and told to go elsewhere; the process ends
-when the balancer must have noticed and nothing is open, or when its grace is
-over.
+those that are open are served and told to go elsewhere; the listener closes
+when the balancer must have noticed; the process ends when no connection is
+left, or when its grace is nearly over (``shutdown``).
 """
 
 import collections
@@ -33,6 +33,7 @@
 from apricotlanding import asgi
 from apricotlanding import clocks
 from apricotlanding import ids
+from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
@@ -65,16 +66,6 @@
 PEER_PUMP_INTERVAL = 0.005
 # Seconds between looks at connections, runners and peers that are gone.
 TIDY_INTERVAL = 0.5
-# Seconds after SIGTERM in which new connections may still arrive: the
-# balancer asks once a second and acts on the second answer.
-STOP_NOTICE = 2.5
-# Seconds between looks at what is still open, and for which nothing must be:
-# the server looks each tenth of a second whether it is to end.
-STOP_LOOK = 0.05
-STOP_QUIET = 0.25
-# Part of the grace after which a stopping process ends although requests
-# are open: they would be cut by the kill that follows.
-STOP_PART = 0.94
 # Hosts of a group that follow the store themselves; the others hear from
 # them. More than enough for a store that turns a third of the hosts away, of
 # one group; of several, records also spread from group to group.
@@ -210,7 +201,6 @@
             config.callers,
             config.readiness,
             config.metrics,
-            stop_s=bounds.stop_grace_s,
         )
         self._measures.gauges = {
             'open_requests': lambda: self._listener.open_requests,
@@ -553,31 +543,16 @@
         )
         eliot.log_message('gateway:reloaded', is_changed=is_changed)
 
-    async def _wait_quiet(self) -> None:
-        # The server closes idle connections a tenth of a second after it was
-        # told to, and until then a request may come on one of them. Ending
-        # as soon as nothing is open would cut its answer; so nothing may have
-        # been open for longer than that. The last bytes of the last answer
-        # leave in this time too.
-        quiet_s = 0.0
-        while quiet_s < STOP_QUIET:
-            await anyio.sleep(STOP_LOOK)
-            is_open = self._listener.open_requests > 0
-            quiet_s = 0.0 if is_open else quiet_s + STOP_LOOK
-
     async def _drain(self) -> None:
+        grace_s = self._settings.bounds.stop_grace_s
+        plan = shutdown.make_plan(grace_s, clocks.read_monotonic())
         self._is_stopping = True
         self._mesh.tell()
         self._log_stop('gateway:stopping')
-        await anyio.sleep(STOP_NOTICE)
-        # Kept connections that are unused are closed now: a request that a
-        # caller sends on one of them later would be cut by the end of the
-        # grace.
+        await anyio.sleep(plan.close_at - clocks.read_monotonic())
         self._log_stop('gateway:listener_closing')
-        self._server.stop()
-        left = self._settings.bounds.stop_grace_s * STOP_PART - STOP_NOTICE
-        with anyio.move_on_after(left):
-            await self._wait_quiet()
+        left_s = plan.end_at - clocks.read_monotonic()
+        await shutdown.finish(self._server, left_s)
         self._log_stop('gateway:drained')
 
     def _log_stop(self, kind: str) -> None:
