Group the gateway's modules into rooms by concern

Cause: 29 modules in one flat folder; a newcomer could not tell from the tree where a change belongs.

No line of logic is changed.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -15,14 +15,14 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway import directory
-from apricotlandingd.gateway import health
-from apricotlandingd.gateway import mesh
-from apricotlandingd.gateway import messages
-from apricotlandingd.gateway import pace
-from apricotlandingd.gateway import scheduler
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
 
 POOL = ids.Pool('pool')
 ROUNDS = 5
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/__init__.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/__init__.py
@@ -1,17 +1,17 @@
 """The entry of a platform's callers: forwards requests to runners.
 
 This package is the daemon as it runs on a platform that keeps configuration
-and runner registrations in its own store. A request's way, top to bottom:
+and runner registrations in its own store. Its rooms:
 
-* ``listener``: HTTP from callers, the readiness check, metrics;
-* ``exchange``: one request, from its head to its final answer;
-* ``quotas``, ``waiting``, ``placement``, ``secondsends``: the decisions,
-  pure code that takes the present time as an argument;
-* ``scheduler``: applies them to the requests that wait here;
-* ``runnerclient``, ``streams``: the call to a runner.
+* ``requests``: a request's way, from a caller's connection to a runner's;
+* ``decisions``: who goes next, where to, who is refused and what may be sent
+  again; pure code that takes the present time as an argument;
+* ``runners``: what this host believes about runners;
+* ``hosts``: what hosts tell each other;
+* ``replication``: records of the configuration and of runners, from the
+  platform's store or from another host;
+* ``process``: the life of one process.
 
-What hosts share comes by ``records`` (configuration and runners, from the
-platform's store or from peers) and ``mesh`` (what each host uses and wants).
 ``catalogue`` and ``dialect`` hold the types that an adapter fills; nothing
 here knows a platform's names.
 """
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/groupuses.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/groupuses.py
@@ -12,7 +12,7 @@
 import typing as ty
 
 from apricotlandingd.gateway import catalogue
-from apricotlandingd.gateway import quotas
+from apricotlandingd.gateway.decisions import quotas
 
 __all__ = ['GroupUses']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
@@ -11,8 +11,8 @@
 import xxhash
 
 from apricotlanding import ids
-from apricotlandingd.gateway import pace
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.decisions import waiting
+from apricotlandingd.gateway.runners import pace
 
 __all__ = ['Option', 'choose_runner']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -17,14 +17,14 @@
 import eliot
 
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import placement
+from apricotlandingd.gateway.decisions import spares
+from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway import directory
-from apricotlandingd.gateway import groups
-from apricotlandingd.gateway import health
-from apricotlandingd.gateway import pace
-from apricotlandingd.gateway import placement
-from apricotlandingd.gateway import spares
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.hosts import groups
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
 
 __all__ = ['Others', 'Scheduler']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -33,9 +33,9 @@
 from apricotlanding import clocks
 from apricotlanding import errors
 from apricotlanding import ids
-from apricotlandingd.gateway import groups
-from apricotlandingd.gateway import messages
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.decisions import waiting
+from apricotlandingd.gateway.hosts import groups
+from apricotlandingd.gateway.hosts import messages
 
 __all__ = ['Mesh', 'Peer', 'Scope']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -11,7 +11,7 @@
 
 from apricotlanding import codec
 from apricotlanding import ids
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.decisions import waiting
 
 __all__ = [
     'HostState',
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -36,26 +36,26 @@
 from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import groupuses
+from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway.decisions import secondsends
+from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway import directory
-from apricotlandingd.gateway import exchange
-from apricotlandingd.gateway import groupuses
-from apricotlandingd.gateway import habits
-from apricotlandingd.gateway import health
-from apricotlandingd.gateway import listener
-from apricotlandingd.gateway import measures
-from apricotlandingd.gateway import mesh
-from apricotlandingd.gateway import messages
-from apricotlandingd.gateway import pace
-from apricotlandingd.gateway import quotas
-from apricotlandingd.gateway import recordexchange
-from apricotlandingd.gateway import records
-from apricotlandingd.gateway import runnerclient
-from apricotlandingd.gateway import scheduler
-from apricotlandingd.gateway import secondsends
-from apricotlandingd.gateway import settings
-from apricotlandingd.gateway import stalls
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.process import measures
+from apricotlandingd.gateway.process import settings
+from apricotlandingd.gateway.process import stalls
+from apricotlandingd.gateway.replication import recordexchange
+from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.requests import exchange
+from apricotlandingd.gateway.requests import habits
+from apricotlandingd.gateway.requests import listener
+from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
 
 __all__ = ['Gateway']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/recordexchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
@@ -16,8 +16,8 @@
 from apricotlanding import frames
 from apricotlanding import sockets
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway import messages
-from apricotlandingd.gateway import records
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.replication import records
 
 __all__ = ['RecordExchange']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -32,19 +32,19 @@
 from apricotlanding import taskgroups
 from apricotlanding import webclient
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway.decisions import secondsends
+from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway import directory
-from apricotlandingd.gateway import habits
-from apricotlandingd.gateway import health
-from apricotlandingd.gateway import measures
-from apricotlandingd.gateway import pace
-from apricotlandingd.gateway import quotas
-from apricotlandingd.gateway import replies
-from apricotlandingd.gateway import runnerclient
-from apricotlandingd.gateway import scheduler
-from apricotlandingd.gateway import secondsends
-from apricotlandingd.gateway import streams
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.process import measures
+from apricotlandingd.gateway.requests import habits
+from apricotlandingd.gateway.requests import replies
+from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.requests import streams
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
 
 __all__ = ['Exchange', 'Parts']
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/listener.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
@@ -12,8 +12,8 @@
 
 from apricotlanding import addresses
 from apricotlanding import asgi
-from apricotlandingd.gateway import exchange
-from apricotlandingd.gateway import measures
+from apricotlandingd.gateway.process import measures
+from apricotlandingd.gateway.requests import exchange
 
 __all__ = ['Listener']
 
--- a/tests/groupload.py
+++ b/tests/groupload.py
@@ -11,12 +11,12 @@
 import random
 
 from apricotlanding import ids
-from apricotlandingd.gateway import directory
-from apricotlandingd.gateway import groups
-from apricotlandingd.gateway import health
-from apricotlandingd.gateway import pace
-from apricotlandingd.gateway import scheduler
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway.decisions import waiting
+from apricotlandingd.gateway.hosts import groups
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
 import gatewayparts
 
 __all__ = ['Outcome', 'play_groups']
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -8,19 +8,19 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway.decisions import secondsends
+from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway import directory
-from apricotlandingd.gateway import groups
-from apricotlandingd.gateway import health
-from apricotlandingd.gateway import mesh
-from apricotlandingd.gateway import messages
-from apricotlandingd.gateway import pace
-from apricotlandingd.gateway import quotas
-from apricotlandingd.gateway import records
-from apricotlandingd.gateway import scheduler
-from apricotlandingd.gateway import secondsends
-from apricotlandingd.gateway import streams
-from apricotlandingd.gateway import waiting
+from apricotlandingd.gateway.hosts import groups
+from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.requests import streams
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
 from apricotstandins import processes
 import gatewayparts
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -4,7 +4,7 @@
 import testtools
 
 from apricotlanding import shutdown
-from apricotlandingd.gateway import stalls
+from apricotlandingd.gateway.process import stalls
 
 
 class FakeIntake:
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -8,7 +8,7 @@
 from apricotlanding import addresses
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway import records
+from apricotlandingd.gateway.replication import records
 
 
 # Seconds after the last record in which it has surely been read.
