--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -28,6 +28,13 @@
 ROUNDS = 5
 REPEATS = 200
 SLOTS = 8
+# Unix milliseconds of a runner's start.
+BIRTH = 1_764_726_589_123
+
+
+def make_start(number: int) -> ids.RunnerStart:
+    """Return a runner's identity, as long as the platform's are."""
+    return ids.make_runner_start(ids.Runner(f'i-{number:010}'), BIRTH)
 
 
 def make_mesh(peers: int, runners: int) -> mesh.Mesh:
@@ -54,7 +61,7 @@
         is_stopping=False,
         reads_store=True,
         positions=[40, 400],
-        running={ids.Runner(f'i-{item:010}'): 1 for item in range(runners)},
+        running={make_start(item): 1 for item in range(runners)},
         usage={ids.Organisation(f'org{item}'): 1e6 for item in range(5)},
         ranks={POOL: [waiting.Rank(0, 0, False, 0.3)] * 2},
         hints={},
@@ -67,7 +74,7 @@
     for number in range(runners):
         known.update(
             dialect.RunnerEntry(
-                id=ids.Runner(f'i-{number:010}'),
+                start=make_start(number),
                 service=POOL,
                 address=addresses.Address('10.2.0.1', 1),
                 domain=ids.Domain('d'),
@@ -111,7 +118,7 @@
 def time_scheduler(runners: int, waiting_count: int, peers: int) -> float:
     """Return microseconds for one release and the grant that follows."""
     found = make_scheduler(runners, make_mesh(peers, 0))
-    granted: list[ids.Runner] = []
+    granted: list[ids.RunnerStart] = []
     numbers = itertools.count()
     left = waiting_count + 1
     # A group of hosts has a part of the runners: full when one waits.
--- a/packages/apricotlanding/src/apricotlanding/ids.py
+++ b/packages/apricotlanding/src/apricotlanding/ids.py
@@ -32,12 +32,17 @@
     'Pool',
     'Route',
     'Runner',
+    'RunnerStart',
     'Shard',
     'Tier',
     'Version',
+    'find_runner',
     'has_ended',
+    'has_run_before',
     'make_incarnation',
+    'make_runner_start',
     'parse_host',
+    'read_birth',
     'read_issue_time',
 ]
 
@@ -45,6 +50,8 @@
 Route = ty.NewType('Route', str)
 Pool = ty.NewType('Pool', str)
 Runner = ty.NewType('Runner', str)
+# One run of a runner's process: ``BIRTH@RUNNER``; see ``make_runner_start``.
+RunnerStart = ty.NewType('RunnerStart', str)
 Host = ty.NewType('Host', str)
 Domain = ty.NewType('Domain', str)
 # ``host/PLACE.START.RANDOM``; see ``make_incarnation``.
@@ -93,6 +100,38 @@
     return Host(incarnation.rpartition('/')[0])
 
 
+def make_runner_start(runner: Runner, birth: int | None) -> RunnerStart:
+    """Return the identity of one start of a runner.
+
+    ``birth`` is the Unix millisecond of the start; None if the runner does
+    not state it, and all its starts are then taken for one. The birth goes
+    first, because a runner's id may contain any character.
+    """
+    return RunnerStart(f'{"" if birth is None else birth}@{runner}')
+
+
+def find_runner(start: RunnerStart) -> Runner:
+    """Return the id under which a start is registered."""
+    return Runner(start.partition('@')[2])
+
+
+def read_birth(start: RunnerStart) -> int | None:
+    """Return the Unix millisecond of a start; None if it is not known."""
+    birth = start.partition('@')[0]
+    return int(birth) if birth else None
+
+
+def has_run_before(start: RunnerStart, later: RunnerStart) -> bool:
+    """Tell whether two starts are of one runner, and which was first.
+
+    A start whose birth is not known is taken to be the first.
+    """
+    birth, later_birth = read_birth(start), read_birth(later)
+    if find_runner(start) != find_runner(later) or later_birth is None:
+        return False
+    return birth is None or birth < later_birth
+
+
 def read_issue_time(key: Key) -> float | None:
     """Return when a key was issued, in Unix seconds.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
@@ -31,7 +31,7 @@
 class Option:
     """A runner with a free place."""
 
-    runner: ids.Runner
+    runner: ids.RunnerStart
     # Places taken and in all.
     used: int
     slots: int
@@ -76,5 +76,8 @@
     return option.pace.start_s + read - saved + rest * load
 
 
-def _rate_home(part: str, runner: ids.Runner) -> int:
+def _rate_home(part: str, start: ids.RunnerStart) -> int:
+    # By the registered id: the homes of other runners' parts stay as they are
+    # when one of them starts again.
+    runner = ids.find_runner(start)
     return xxhash.xxh3_64_intdigest(f'{part} {runner}'.encode())
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -50,7 +50,7 @@
 class Others(ty.Protocol):
     """What the scheduler asks about the other hosts."""
 
-    def count_running(self, runner: ids.Runner) -> int:
+    def count_running(self, runner: ids.RunnerStart) -> int:
         """Return the requests that heard peers have at a runner."""
 
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
@@ -80,8 +80,8 @@
 
     entries: list[dialect.RunnerEntry]
     # Free places; below zero where hosts together overfilled a runner.
-    free: dict[ids.Runner, int]
-    avoided: set[ids.Runner]
+    free: dict[ids.RunnerStart, int]
+    avoided: set[ids.RunnerStart]
 
     def count_free(self) -> int:
         return sum(count for count in self.free.values() if count > 0)
@@ -128,12 +128,14 @@
         self._others = others
         self._spread = spread
         self._waiting: dict[ids.Pool, list[waiting.Ticket]] = {}
-        self.running: collections.Counter[ids.Runner] = collections.Counter()
-        self._loads: dict[ids.Runner, _Load] = {}
-        self._holds: dict[ids.Pool, float] = {}
-        self._parts: collections.OrderedDict[tuple[str, ids.Runner], float] = (
-            collections.OrderedDict()
+        self.running: collections.Counter[ids.RunnerStart] = (
+            collections.Counter()
         )
+        self._loads: dict[ids.RunnerStart, _Load] = {}
+        self._holds: dict[ids.Pool, float] = {}
+        self._parts: collections.OrderedDict[
+            tuple[str, ids.RunnerStart], float
+        ] = collections.OrderedDict()
         self._yielded_at: dict[ids.Pool, float] = {}
         # Runners of this host's group by service, and what they follow from:
         # the groups, and the changes of the directory.
@@ -155,7 +157,7 @@
             tickets.remove(ticket)
 
     def release(
-        self, service: ids.Pool, runner: ids.Runner, now: float
+        self, service: ids.Pool, runner: ids.RunnerStart, now: float
     ) -> None:
         """Give a place back."""
         self.running[runner] -= 1
@@ -173,12 +175,19 @@
         self._holds[service] = before + (held_s - before) * HOLD_WEIGHT
 
     def note_load(
-        self, runner: ids.Runner, load: tuple[int, int], now: float
+        self, runner: ids.RunnerStart, load: tuple[int, int], now: float
     ) -> None:
         """Take a runner's own statement of what runs and waits there."""
         self._loads[runner] = _Load(sum(load), self.running[runner], now)
 
-    def note_part(self, part: str, runner: ids.Runner, now: float) -> None:
+    def keep_only(self, runners: set[ids.RunnerStart]) -> None:
+        """Forget what runners stated that are gone."""
+        for runner in set(self._loads) - runners:
+            del self._loads[runner]
+
+    def note_part(
+        self, part: str, runner: ids.RunnerStart, now: float
+    ) -> None:
         """Remember that a runner has read a prompt's last part."""
         if not part:
             return
@@ -188,11 +197,11 @@
             self._parts.popitem(last=False)
 
     def has_place(
-        self, service: ids.Pool, tried: set[ids.Runner], now: float
+        self, service: ids.Pool, tried: set[ids.RunnerStart], now: float
     ) -> bool:
         """Tell whether a runner that was not tried has a free place."""
         return any(
-            entry.id not in tried and self._count_free(entry, now) > 0
+            entry.start not in tried and self._count_free(entry, now) > 0
             for entry in self._list_usable(service, now)
         )
 
@@ -206,9 +215,9 @@
             if tickets
         }
 
-    def list_spare(self, now: float) -> dict[ids.Runner, int]:
+    def list_spare(self, now: float) -> dict[ids.RunnerStart, int]:
         """Return free places of services for which nothing waits."""
-        found: dict[ids.Runner, int] = {}
+        found: dict[ids.RunnerStart, int] = {}
         for service in self._runners.list_services():
             if self._waiting.get(service) or self._others.list_waiting(
                 service
@@ -217,7 +226,7 @@
             for entry in self._list_usable(service, now):
                 count = self._count_free(entry, now)
                 if count > spares.LEFT_PLACES:
-                    found[entry.id] = count
+                    found[entry.start] = count
         return found
 
     # Decisions.
@@ -242,8 +251,8 @@
         entries = self._list_usable(service, now)
         view = _View(
             entries,
-            {entry.id: self._count_free(entry, now) for entry in entries},
-            self._health.list_avoided([entry.id for entry in entries], now),
+            {entry.start: self._count_free(entry, now) for entry in entries},
+            self._health.list_avoided([entry.start for entry in entries], now),
         )
         self._grant(service, queue, view, now)
         if view.count_free() <= 0:
@@ -256,7 +265,7 @@
         return [
             entry
             for entry in self._list_own(service)
-            if not self._health.is_closed(entry.id, now)
+            if not self._health.is_closed(entry.start, now)
         ]
 
     def _list_own(self, service: ids.Pool) -> list[dialect.RunnerEntry]:
@@ -300,7 +309,8 @@
         entries = [
             entry
             for entry in self._runners.list_open(service)
-            if entry.id in free and not self._health.is_closed(entry.id, now)
+            if entry.start in free
+            and not self._health.is_closed(entry.start, now)
         ]
         view = _View(entries, free, set())
         for ticket, _ in queue.iterate():
@@ -313,7 +323,7 @@
             self.spares.take(option.runner)
             self._give(ticket, option.runner)
 
-    def _give(self, ticket: waiting.Ticket, runner: ids.Runner) -> None:
+    def _give(self, ticket: waiting.Ticket, runner: ids.RunnerStart) -> None:
         self.leave(ticket)
         self.running[runner] += 1
         ticket.decide(waiting.Grant(runner))
@@ -327,19 +337,21 @@
     ) -> placement.Option | None:
         options = [
             placement.Option(
-                runner=entry.id,
-                used=entry.slots - view.free[entry.id],
+                runner=entry.start,
+                used=entry.slots - view.free[entry.start],
                 slots=entry.slots,
-                pace=self._paces.find(entry.service, entry.id),
-                is_avoided=entry.id in view.avoided,
-                has_part=self._has_part(ticket.last_part, entry.id, now),
+                pace=self._paces.find(entry.service, entry.start),
+                is_avoided=entry.start in view.avoided,
+                has_part=self._has_part(ticket.last_part, entry.start, now),
             )
             for entry in view.entries
-            if view.free[entry.id] > 0
+            if view.free[entry.start] > 0
         ]
         return placement.choose_runner(ticket, options)
 
-    def _has_part(self, part: str, runner: ids.Runner, now: float) -> bool:
+    def _has_part(
+        self, part: str, runner: ids.RunnerStart, now: float
+    ) -> bool:
         read_at = self._parts.get((part, runner))
         return read_at is not None and now - read_at < PART_TIME
 
@@ -380,8 +392,8 @@
             ticket.decide(waiting.Refusal(back, wait, before))
 
     def _count_free(self, entry: dialect.RunnerEntry, now: float) -> int:
-        own = self.running[entry.id]
-        others = self._others.count_running(entry.id)
+        own = self.running[entry.start]
+        others = self._others.count_running(entry.start)
         silent = self._others.find_silent_share()
         if silent > 0:
             others = max(others, self._estimate_silent(entry, silent, now))
@@ -394,7 +406,7 @@
         # runner's own statement tells; without a fresh one they are taken to
         # use their share, so that hosts cut off from each other do not
         # overfill the runner.
-        load = self._loads.get(entry.id)
+        load = self._loads.get(entry.start)
         if load is not None and now - load.at < LOAD_TIME:
             return max(0, load.stated - load.own)
         return int(entry.slots * silent)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/spares.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/spares.py
@@ -39,10 +39,10 @@
     def __init__(self) -> None:
         """Start without any news."""
         # By group: when it was heard, and the places that may be used.
-        self._news: dict[int, tuple[float, dict[ids.Runner, int]]] = {}
+        self._news: dict[int, tuple[float, dict[ids.RunnerStart, int]]] = {}
 
     def hear(
-        self, group: int, spare: dict[ids.Runner, int], now: float
+        self, group: int, spare: dict[ids.RunnerStart, int], now: float
     ) -> None:
         """Take what a host of another group says of its group."""
         usable = {
@@ -52,15 +52,15 @@
         }
         self._news[group] = (now, usable)
 
-    def list_runners(self, now: float) -> dict[ids.Runner, int]:
+    def list_runners(self, now: float) -> dict[ids.RunnerStart, int]:
         """Return the runners that may be used, with their places."""
-        found: dict[ids.Runner, int] = {}
+        found: dict[ids.RunnerStart, int] = {}
         for heard_at, places in self._news.values():
             if now - heard_at < NEWS_TIME:
                 found.update(places)
         return found
 
-    def take(self, runner: ids.Runner) -> None:
+    def take(self, runner: ids.RunnerStart) -> None:
         """Use one place."""
         for _, places in self._news.values():
             if runner not in places:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
@@ -59,7 +59,7 @@
 class Grant:
     """A place at a runner."""
 
-    runner: ids.Runner
+    runner: ids.RunnerStart
 
 
 @ty.final
@@ -97,7 +97,7 @@
     # Digest of the last part of the prompt; '' if there is none.
     last_part: str
     # Runners that this request was sent to already.
-    tried: set[ids.Runner] = dataclasses.field(default_factory=set)
+    tried: set[ids.RunnerStart] = dataclasses.field(default_factory=set)
     decision: Grant | Refusal | None = None
     decided: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -89,8 +89,7 @@
 class RunnerEntry:
     """A runner as it registered itself."""
 
-    # Names one start of the runner's process.
-    id: ids.Runner
+    start: ids.RunnerStart
     service: ids.Pool
     address: addresses.Address
     domain: ids.Domain
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/groups.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/groups.py
@@ -74,7 +74,10 @@
             return entries
         if len(entries) < LEAST_RUNNERS * self.count:
             return [self._limit_slots(entry) for entry in entries]
-        order = sorted(entries, key=lambda entry: _rate(entry.id))
+        # By the registered id: a runner that starts again stays in its group.
+        order = sorted(
+            entries, key=lambda entry: _rate(ids.find_runner(entry.start))
+        )
         return [
             entry
             for place, entry in enumerate(order)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -123,7 +123,9 @@
         # Requests of all heard near peers at each runner. Kept up with each
         # message: summing all peers for each runner at each decision would
         # cost more than the decision.
-        self._running: collections.Counter[ids.Runner] = collections.Counter()
+        self._running: collections.Counter[ids.RunnerStart] = (
+            collections.Counter()
+        )
         self._silent_share = 0.0
         self.partition = groups.Partition()
         # Addresses to try, with the tries that are left.
@@ -172,7 +174,7 @@
         """Return the share of this host's group that is not heard."""
         return self._silent_share
 
-    def count_running(self, runner: ids.Runner) -> int:
+    def count_running(self, runner: ids.RunnerStart) -> int:
         """Return the requests that heard peers have at a runner."""
         return self._running[runner]
 
@@ -274,7 +276,9 @@
             )
 
     def _recount(
-        self, before: dict[ids.Runner, int], after: dict[ids.Runner, int]
+        self,
+        before: dict[ids.RunnerStart, int],
+        after: dict[ids.RunnerStart, int],
     ) -> None:
         for runner, count in before.items():
             self._running[runner] -= count
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -43,7 +43,7 @@
     # Next offset of each topic; see ``records.TOPICS``.
     positions: list[int]
     # Requests at runners.
-    running: dict[ids.Runner, int]
+    running: dict[ids.RunnerStart, int]
     # Units handed out since the start, by organisation.
     usage: dict[ids.Organisation, float]
     # The first of those that wait, by service; their times count from the
@@ -61,7 +61,7 @@
     )
     # Free places at runners of this host's group for which nothing waits
     # there; only in states for hosts of other groups.
-    spare: dict[ids.Runner, int] = dataclasses.field(default_factory=dict)
+    spare: dict[ids.RunnerStart, int] = dataclasses.field(default_factory=dict)
 
 
 @registry.register(2)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -9,6 +9,8 @@
     ├── catch-up     takes records from a peer that is ahead
     ├── join         finds the other hosts
     ├── pump         decides what waits, by time
+    ├── tidy         drops connections, runners and peers that are gone
+    ├── restarts     closes connections of runners that started again
     ├── settings     reads the settings again when they were written
     └── signals      SIGTERM stops, SIGHUP reads the settings again
 
@@ -52,7 +54,7 @@
 from apricotlandingd.gateway.requests import exchange
 from apricotlandingd.gateway.requests import habits
 from apricotlandingd.gateway.requests import listener
-from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.requests import runnerclients
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import pace
@@ -111,7 +113,7 @@
         self._stop_asked = anyio.Event()
         self._peer_ahead = anyio.Event()
         self._pumped_at = 0.0
-        self._clients: dict[ids.Runner, runnerclient.RunnerClient] = {}
+        self._clients = runnerclients.RunnerClients()
         self._peer_socket = asgi.bind_address(config.peers)
         self.incarnation = ids.make_incarnation(
             config.host, str(config.peers), clocks.read_monotonic()
@@ -181,7 +183,7 @@
             paces=self._paces,
             measures=self._measures,
             find_catalogue=lambda: self._catalogue,
-            find_client=self._find_client,
+            find_client=self._clients.find,
             count_hosts=self._mesh.count_hosts,
             find_silent_share=self._mesh.find_silent_share,
             find_group_part=self._find_group_part,
@@ -205,7 +207,7 @@
         self._measures.gauges = {
             'open_requests': lambda: self._listener.open_requests,
             'peers_known': lambda: len(self._mesh.peers),
-            'runner_connects_total': self._count_connects,
+            'runner_connects_total': self._clients.count_connects,
             'stalls_total': lambda: self._stalls.count,
             'stalled_seconds_total': lambda: self._stalls.seconds,
         }
@@ -228,13 +230,13 @@
             tree.start('join', self._join)
             tree.start('pump', self._pump_forever)
             tree.start('tidy', self._tidy_forever)
+            tree.start('restarts', self._clients.run)
             tree.start('signals', self._watch_signals)
             tree.start('settings', self._watch_settings)
             eliot.log_message('gateway:started', incarnation=self.incarnation)
             await self._stop_asked.wait()
             await self._drain()
-        for client in self._clients.values():
-            await client.close()
+        await self._clients.close()
         eliot.log_message('gateway:stopped')
 
     def is_ready(self) -> bool:
@@ -259,7 +261,7 @@
     def list_open_runners(self) -> list[ids.Runner]:
         """Return the runners that take new requests."""
         return [
-            entry.id
+            ids.find_runner(entry.start)
             for entry in self._directory.list_all()
             if not entry.is_draining
         ]
@@ -303,16 +305,23 @@
 
     def _take_runner(self, record: dialect.Record, now: float) -> None:
         runner = ids.Runner(record.key)
+        birth: int | None = None
         if record.value is None:
             self._directory.remove(runner, now)
             state = 'removed'
         else:
             entry = self._dialect.decode_runner(record.key, record.value)
-            self._directory.update(entry)
+            birth = ids.read_birth(entry.start)
             state = 'draining' if entry.is_draining else 'open'
+            news = self._directory.update(entry)
+            if news is directory.News.START:
+                self._clients.end_earlier(entry.start)
+            elif news is directory.News.OUTDATED:
+                state = 'outdated'
         eliot.log_message(
             'gateway:runner',
             runner=runner,
+            born=birth,
             state=state,
             offset=record.offset,
         )
@@ -383,10 +392,10 @@
         if self._mesh.partition.count > 1 and scope is not mesh.Scope.CHANGES:
             asked = self._quotas.list_asked(now)
             group_asked = self._sum_asked(asked)
-        spare: dict[ids.Runner, int] = {}
+        spare: dict[ids.RunnerStart, int] = {}
         if scope is mesh.Scope.FAR:
             spare = self._scheduler.list_spare(now)
-        running: dict[ids.Runner, int] = {}
+        running: dict[ids.RunnerStart, int] = {}
         ranks: dict[ids.Pool, list[waiting.Rank]] = {}
         if scope is not mesh.Scope.FAR:
             running = dict(self._scheduler.running)
@@ -451,18 +460,6 @@
 
     # Runners.
 
-    def _find_client(
-        self, entry: dialect.RunnerEntry
-    ) -> runnerclient.RunnerClient:
-        client = self._clients.get(entry.id)
-        if client is None:
-            client = runnerclient.RunnerClient(entry.address)
-            self._clients[entry.id] = client
-        return client
-
-    def _count_connects(self) -> float:
-        return sum(client.connects for client in self._clients.values())
-
     async def _pump_forever(self) -> None:
         while True:
             due = clocks.read_monotonic() + PUMP_INTERVAL
@@ -486,14 +483,12 @@
             await anyio.sleep(TIDY_INTERVAL)
             now = clocks.read_monotonic()
             self._directory.expire(now)
-            known = {entry.id for entry in self._directory.list_all()}
+            entries = self._directory.list_all()
+            known = {entry.start for entry in entries}
             self._health.keep_only(known)
             self._paces.keep_only(known)
-            for runner, client in list(self._clients.items()):
-                await client.close_expired(now)
-                if runner not in known:
-                    del self._clients[runner]
-                    await client.close()
+            self._scheduler.keep_only(known)
+            await self._clients.tidy(entries, now)
 
     # Stopping.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -148,14 +148,14 @@
         self._sends = 0
         self._may_have_run = False
         self._has_second_send = False
-        self._tried: set[ids.Runner] = set()
+        self._tried: set[ids.RunnerStart] = set()
         # A failure that a runner answered, for when no other does better.
         self._fallback: tuple[dialect.AnswerHead, bytes] | None = None
         self._reader: streams.EventReader | None = None
         self._first_at: float | None = None
         # Seconds spent waiting for places.
         self._waited_s = 0.0
-        self._runner: ids.Runner | None = None
+        self._runner: ids.RunnerStart | None = None
         self._detail = ''
 
     async def run(self) -> None:
@@ -392,7 +392,7 @@
 
     # Sending.
 
-    async def _try(self, runner: ids.Runner) -> _End:
+    async def _try(self, runner: ids.RunnerStart) -> _End:
         began_at = clocks.read_monotonic()
         self._runner = runner
         self._tried.add(runner)
@@ -410,7 +410,7 @@
         finally:
             self._release(runner)
 
-    def _release(self, runner: ids.Runner) -> None:
+    def _release(self, runner: ids.RunnerStart) -> None:
         now = clocks.read_monotonic()
         self._parts.scheduler.release(self._service, runner, now)
         self._parts.on_change()
@@ -458,7 +458,7 @@
             target=self._target,
             headers=self._parts.spoken.write_request(
                 self._head,
-                entry.id,
+                ids.find_runner(entry.start),
                 None if organisation is None else organisation.name,
                 left,
                 last_event,
@@ -473,14 +473,14 @@
             # The runner stopped at the deadline that it was given.
             return
         if is_reached:
-            self._parts.health.note_failure(entry.id, now)
+            self._parts.health.note_failure(entry.start, now)
         else:
-            self._parts.health.note_unreachable(entry.id, now)
+            self._parts.health.note_unreachable(entry.start, now)
         self._parts.measures.count('runner_failures_total')
         eliot.log_message(
             'gateway:runner_failed',
             attempt=self._head.attempt,
-            runner=entry.id,
+            runner=ids.find_runner(entry.start),
             is_reached=is_reached,
             detail=self._detail,
         )
@@ -495,7 +495,7 @@
         if not self._can_leave():
             yield guard
             return
-        found = self._parts.paces.find(self._service, entry.id)
+        found = self._parts.paces.find(self._service, entry.start)
         first = found.find_first(self._head.prompt_tokens)
         guard.extend(
             max(
@@ -556,7 +556,7 @@
         answer.idle_s = head.idle_s
         now = clocks.read_monotonic()
         if head.load is not None:
-            self._parts.scheduler.note_load(entry.id, head.load, now)
+            self._parts.scheduler.note_load(entry.start, head.load, now)
         if head.attempt and head.attempt != self._head.attempt:
             # A late answer to another request on this connection.
             raise webclient.Broken('the answer names another attempt')
@@ -567,7 +567,7 @@
                 # The address belongs to another runner now: this is no send,
                 # and the registration that led here is out of date.
                 self._sends -= 1
-                self._parts.health.note_gone(entry.id)
+                self._parts.health.note_gone(entry.start)
             await _read_rest(answer)
             return _End.NOT_RUN
         if not head.is_sealed:
@@ -598,12 +598,12 @@
         if head.status >= FAILED_STATUS:
             self._fallback = (head, body)
             self._detail = f'status {head.status}'
-            self._parts.health.note_failure(entry.id, now)
+            self._parts.health.note_failure(entry.start, now)
             return _End.FAILED
-        self._parts.health.note_success(entry.id)
+        self._parts.health.note_success(entry.start)
         self._first_at = self._first_at or now
         self._parts.paces.note_first(
-            self._service, entry.id, 0, now - began_at
+            self._service, entry.start, 0, now - began_at
         )
         await self._reply.deliver(head, body)
         return _End.DONE
@@ -667,11 +667,11 @@
         if self._first_at is None:
             self._first_at = now
         self._parts.paces.note_first(
-            self._service, entry.id, self._head.prompt_tokens, seconds
+            self._service, entry.start, self._head.prompt_tokens, seconds
         )
         if self._head.prefix:
             self._parts.scheduler.note_part(
-                self._head.prefix[-1][0], entry.id, now
+                self._head.prefix[-1][0], entry.start, now
             )
 
     def _note_end(
@@ -680,11 +680,11 @@
         events: int,
         first_at: float | None,
     ) -> None:
-        self._parts.health.note_success(entry.id)
+        self._parts.health.note_success(entry.start)
         if first_at is None or events < 2:
             return
         rest = clocks.read_monotonic() - first_at
-        self._parts.paces.note_rest(self._service, entry.id, events, rest)
+        self._parts.paces.note_rest(self._service, entry.start, events, rest)
         self._parts.habits.note_events(self._route.name, events)
 
     # Answers of our own.
@@ -706,6 +706,9 @@
         first = None
         if self._first_at is not None:
             first = round(self._first_at - self._arrived_at, 4)
+        runner = None
+        if self._runner is not None:
+            runner = ids.find_runner(self._runner)
         kind = self._reply.outcome.partition(' ')[0]
         self._parts.measures.count('requests_total', outcome=kind)
         self._parts.measures.time('request_seconds', took, outcome=kind)
@@ -718,7 +721,7 @@
             organisation=None
             if self._organisation is None
             else self._organisation.name,
-            runner=self._runner,
+            runner=runner,
             sends=self._sends,
             version=self._version,
             service=self._service,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
@@ -98,12 +98,18 @@
 
 @ty.final
 class RunnerClient:
-    """Connections to one runner."""
+    """Connections to one start of a runner."""
 
     def __init__(self, address: addresses.Address) -> None:
         """Start without connections."""
         self._address = address
         self._idle: list[_Connection] = []
+        # Those with a request on them.
+        self._used: set[_Connection] = set()
+        # Takes no requests any more, and keeps no connections: nobody looks
+        # at those of a runner that is gone, and each would hold a descriptor
+        # for as long as the process runs.
+        self._is_stopped = False
         # Connections made since the start, for the metrics.
         self.connects = 0
 
@@ -115,6 +121,7 @@
         connection, which tells the runner to stop.
         """
         connection = await self._take_connection(call.is_repeatable)
+        self._used.add(connection)
         answer: Answer | None = None
         try:
             async with taskgroups.open_group() as group:
@@ -122,13 +129,35 @@
                 answer = Answer(connection, await connection.read_head())
                 yield answer
         finally:
+            self._used.discard(connection)
             self._put_back(connection, answer)
             if not connection.is_kept:
                 with anyio.CancelScope(shield=True):
                     await connection.close()
 
+    def is_used(self) -> bool:
+        """Tell whether a request is on its way."""
+        return bool(self._used)
+
+    def stop(self) -> None:
+        """Take no more requests."""
+        self._is_stopped = True
+
+    async def close_made_before(self, wall_s: float) -> int:
+        """Break off what is on connections made before this Unix time.
+
+        Returns how many requests that were. A clock of this host that is
+        ahead leaves connections alone that could be closed, and their
+        requests end by their silence or their time limit.
+        """
+        early = [item for item in self._used if item.made_at < wall_s]
+        for connection in early:
+            await connection.close()
+        return len(early)
+
     async def close(self) -> None:
-        """Close the idle connections."""
+        """Take no more requests, and close the idle connections."""
+        self.stop()
         while self._idle:
             await self._idle.pop().close()
 
@@ -142,6 +171,8 @@
     async def _take_connection(self, is_repeatable: bool) -> '_Connection':
         now = clocks.read_monotonic()
         while True:
+            if self._is_stopped:
+                raise webclient.NotSent('the runner has left')
             connection = self._pop_idle(is_repeatable, now)
             if connection is None:
                 return await self._connect()
@@ -174,12 +205,15 @@
             )
         except (OSError, TimeoutError) as error:
             raise webclient.NotSent(repr(error)) from error
-        return _Connection(stream)
+        if self._is_stopped:
+            await stream.aclose()
+            raise webclient.NotSent('the runner has left')
+        return _Connection(stream, clocks.read_wall())
 
     def _put_back(
         self, connection: '_Connection', answer: Answer | None
     ) -> None:
-        if answer is None or not answer.is_complete:
+        if answer is None or not answer.is_complete or self._is_stopped:
             return
         if not connection.start_next():
             return
@@ -194,8 +228,10 @@
 class _Connection:
     """One connection; one call at a time."""
 
-    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+    def __init__(self, stream: anyio.abc.SocketStream, made_at: float) -> None:
         self._stream = stream
+        # Unix time in seconds.
+        self.made_at = made_at
         self._http = h11.Connection(h11.CLIENT)
         self._is_sent = False
         self.is_kept = False
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -5,15 +5,24 @@
 runner could not renew it. Such a runner is kept for a moment, because a
 lapse of all runners at once would otherwise refuse every request although
 each of them serves.
+
+A runner may start again under its id. Its registration then bears a later
+birth, and all that was learned of the start before holds no more. A write of
+the start before may reach the store after that of the new one, for the store
+may carry out a call long after its caller has gone; it would bring back a
+process that has ended, or let the new one seem to drain. So a registration
+with an earlier birth than the latest one is outdated, whatever its place in
+the records; the runner writes its own again with its next heartbeat.
 """
 
 import dataclasses
+import enum
 import typing as ty
 
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
 
-__all__ = ['Directory']
+__all__ = ['Directory', 'News']
 
 # How long after its return the store may still miss a runner that lives, in
 # seconds; the platform promises about two.
@@ -21,6 +30,21 @@
 # Seconds by which a runner is dropped before its drain time ends, so that
 # what was sent to it just before arrives in time.
 DRAIN_MARGIN = 0.5
+# Seconds for which the birth of a runner that is gone is remembered: longer
+# than the platform may take to carry out a write of an earlier start, which
+# was seen to be six.
+BIRTH_MEMORY = 15.0
+
+
+class News(enum.Enum):
+    """What a registration says of the runner's start."""
+
+    # It is the one that was known.
+    SAME = 'same'
+    # It was not known, and any that was has ended.
+    START = 'start'
+    # It has ended, for a later one was known: nothing was taken.
+    OUTDATED = 'outdated'
 
 
 @ty.final
@@ -31,6 +55,14 @@
     removed_at: float | None = None
 
 
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Gone:
+    # The last start of a runner, and when it was dropped.
+    start: ids.RunnerStart
+    at: float
+
+
 @ty.final
 class Directory:
     """Runners as they are registered."""
@@ -43,7 +75,9 @@
         """
         self._keep_s = 0.0
         self.set_drain_time(drain_s)
+        # The latest start of each runner.
         self._places: dict[ids.Runner, _Place] = {}
+        self._gone: dict[ids.Runner, _Gone] = {}
         self._outage_at: float | None = None
         # Counts the changes, for those who keep what they derive from it.
         self.changes = 0
@@ -56,10 +90,23 @@
         """Say that the store was not reached just now."""
         self._outage_at = now
 
-    def update(self, entry: dialect.RunnerEntry) -> None:
-        """Take a registration or its change."""
-        self._places[entry.id] = _Place(entry)
+    def update(self, entry: dialect.RunnerEntry) -> News:
+        """Take a registration or its change.
+
+        One that states no birth is taken to be of the start that is known.
+        """
+        runner = ids.find_runner(entry.start)
+        place = self._places.get(runner)
+        if ids.read_birth(entry.start) is None:
+            if place is not None:
+                entry = dataclasses.replace(entry, start=place.entry.start)
+        elif self._is_outdated(entry.start):
+            return News.OUTDATED
+        is_same = place is not None and place.entry.start == entry.start
+        self._places[runner] = _Place(entry)
+        self._gone.pop(runner, None)
         self.changes += 1
+        return News.SAME if is_same else News.START
 
     def remove(self, runner: ids.Runner, now: float) -> None:
         """Take the end of a registration."""
@@ -69,7 +116,7 @@
         if self._is_outage(now) and not place.entry.is_draining:
             place.removed_at = now
             return
-        self._drop(runner)
+        self._drop(runner, now)
 
     def expire(self, now: float) -> None:
         """Drop runners whose registration did not come back in time."""
@@ -80,12 +127,17 @@
             # runner may have left for good all the same.
             is_over = now - place.removed_at > self._keep_s
             if is_over or not self._is_outage(now):
-                self._drop(runner)
-
-    def find(self, runner: ids.Runner) -> dialect.RunnerEntry | None:
-        """Return a runner that is still known."""
-        place = self._places.get(runner)
-        return None if place is None else place.entry
+                self._drop(runner, now)
+        for runner, gone in list(self._gone.items()):
+            if now - gone.at > BIRTH_MEMORY:
+                del self._gone[runner]
+
+    def find(self, start: ids.RunnerStart) -> dialect.RunnerEntry | None:
+        """Return a start of a runner that is still known."""
+        place = self._places.get(ids.find_runner(start))
+        if place is None or place.entry.start != start:
+            return None
+        return place.entry
 
     def list_open(self, service: ids.Pool) -> list[dialect.RunnerEntry]:
         """Return the runners of a service that take new requests."""
@@ -103,10 +155,19 @@
         """Return all runners that are known."""
         return [place.entry for place in self._places.values()]
 
-    def _drop(self, runner: ids.Runner) -> None:
-        del self._places[runner]
+    def _drop(self, runner: ids.Runner, now: float) -> None:
+        place = self._places.pop(runner)
+        self._gone[runner] = _Gone(place.entry.start, now)
         self.changes += 1
 
+    def _is_outdated(self, start: ids.RunnerStart) -> bool:
+        runner = ids.find_runner(start)
+        place = self._places.get(runner)
+        if place is not None:
+            return ids.has_run_before(start, place.entry.start)
+        gone = self._gone.get(runner)
+        return gone is not None and ids.has_run_before(start, gone.start)
+
     def _is_outage(self, now: float) -> bool:
         if self._outage_at is None:
             return False
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/health.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/health.py
@@ -47,22 +47,22 @@
 
     def __init__(self) -> None:
         """Start without any answers."""
-        self._records: dict[ids.Runner, _Record] = {}
+        self._records: dict[ids.RunnerStart, _Record] = {}
 
-    def note_success(self, runner: ids.Runner) -> None:
+    def note_success(self, runner: ids.RunnerStart) -> None:
         """Count an answer as it should be."""
         record = self._find(runner)
         record.rate *= 1 - NEWEST_WEIGHT
         record.misses = 0
 
-    def note_failure(self, runner: ids.Runner, now: float) -> None:
+    def note_failure(self, runner: ids.RunnerStart, now: float) -> None:
         """Count an error, a broken answer or none."""
         record = self._find(runner)
         record.rate += (1 - record.rate) * NEWEST_WEIGHT
         if record.rate > AVOID_RATE:
             record.avoid_until = now + AVOID_TIME
 
-    def note_unreachable(self, runner: ids.Runner, now: float) -> None:
+    def note_unreachable(self, runner: ids.RunnerStart, now: float) -> None:
         """Count a connection that could not be made."""
         record = self._find(runner)
         record.rate += (1 - record.rate) * NEWEST_WEIGHT
@@ -70,11 +70,11 @@
         record.closed_until = now + closed
         record.misses += 1
 
-    def note_gone(self, runner: ids.Runner) -> None:
+    def note_gone(self, runner: ids.RunnerStart) -> None:
         """Say that another runner has this one's address."""
         self._find(runner).is_gone = True
 
-    def is_closed(self, runner: ids.Runner, now: float) -> bool:
+    def is_closed(self, runner: ids.RunnerStart, now: float) -> bool:
         """Tell whether a runner should get nothing at all."""
         record = self._records.get(runner)
         if record is None:
@@ -82,12 +82,12 @@
         return record.is_gone or now < record.closed_until
 
     def list_avoided(
-        self, runners: list[ids.Runner], now: float
-    ) -> set[ids.Runner]:
+        self, runners: list[ids.RunnerStart], now: float
+    ) -> set[ids.RunnerStart]:
         """Return those of a service's runners that should be avoided."""
         rates = [self._find(runner).rate for runner in runners]
         usual = sorted(rates)[(len(rates) - 1) // 2] if rates else 0.0
-        avoided: set[ids.Runner] = set()
+        avoided: set[ids.RunnerStart] = set()
         for runner in runners:
             record = self._find(runner)
             if now >= record.avoid_until or record.rate < 2 * usual:
@@ -95,10 +95,10 @@
             avoided.add(runner)
         return avoided
 
-    def keep_only(self, runners: set[ids.Runner]) -> None:
+    def keep_only(self, runners: set[ids.RunnerStart]) -> None:
         """Forget runners that are gone."""
         for runner in set(self._records) - runners:
             del self._records[runner]
 
-    def _find(self, runner: ids.Runner) -> _Record:
+    def _find(self, runner: ids.RunnerStart) -> _Record:
         return self._records.setdefault(runner, _Record())
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/pace.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/pace.py
@@ -58,13 +58,13 @@
 
     def __init__(self) -> None:
         """Start without any answers."""
-        self._paces: dict[ids.Runner, Pace] = {}
-        self._services: dict[ids.Pool, set[ids.Runner]] = {}
+        self._paces: dict[ids.RunnerStart, Pace] = {}
+        self._services: dict[ids.Pool, set[ids.RunnerStart]] = {}
 
     def note_first(
         self,
         service: ids.Pool,
-        runner: ids.Runner,
+        runner: ids.RunnerStart,
         prompt_tokens: int,
         seconds: float,
     ) -> None:
@@ -80,7 +80,7 @@
     def note_rest(
         self,
         service: ids.Pool,
-        runner: ids.Runner,
+        runner: ids.RunnerStart,
         events: int,
         seconds: float,
     ) -> None:
@@ -90,7 +90,7 @@
         pace = self._open(service, runner)
         pace.write_s = _blend(pace.write_s, seconds / (events - 1))
 
-    def find(self, service: ids.Pool, runner: ids.Runner) -> Pace:
+    def find(self, service: ids.Pool, runner: ids.RunnerStart) -> Pace:
         """Return a runner's speed, or that of the middle one."""
         pace = self._paces.get(runner)
         if pace is not None and pace.answers > 0:
@@ -112,14 +112,14 @@
             write_s=statistics.median(pace.write_s for pace in known),
         )
 
-    def keep_only(self, runners: set[ids.Runner]) -> None:
+    def keep_only(self, runners: set[ids.RunnerStart]) -> None:
         """Forget runners that are gone."""
         for runner in set(self._paces) - runners:
             del self._paces[runner]
         for members in self._services.values():
             members &= runners
 
-    def _open(self, service: ids.Pool, runner: ids.Runner) -> Pace:
+    def _open(self, service: ids.Pool, runner: ids.RunnerStart) -> Pace:
         self._services.setdefault(service, set()).add(runner)
         return self._paces.setdefault(runner, Pace())
 
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -5,17 +5,25 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 
-__all__ = ['POOL', 'make_entry', 'make_organisation']
+__all__ = ['POOL', 'make_entry', 'make_organisation', 'make_start']
 
 POOL = ids.Pool('pool')
 
 
+def make_start(name: str, birth: int | None = None) -> ids.RunnerStart:
+    """Return a start of a runner; without a birth, the only one."""
+    return ids.make_runner_start(ids.Runner(name), birth)
+
+
 def make_entry(
-    name: str, slots: int = 2, is_draining: bool = False
+    name: str,
+    slots: int = 2,
+    is_draining: bool = False,
+    birth: int | None = None,
 ) -> dialect.RunnerEntry:
     """Return a runner of the pool."""
     return dialect.RunnerEntry(
-        id=ids.Runner(name),
+        start=make_start(name, birth),
         service=POOL,
         address=addresses.Address('127.0.0.1', 1),
         domain=ids.Domain('d1'),
--- a/tests/groupload.py
+++ b/tests/groupload.py
@@ -49,7 +49,7 @@
     def __init__(self, own: int) -> None:
         self.partition = groups.Partition(GROUPS, own)
 
-    def count_running(self, runner: ids.Runner) -> int:
+    def count_running(self, runner: ids.RunnerStart) -> int:
         return 0
 
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
@@ -70,14 +70,14 @@
     for number in range(RUNNERS):
         known.update(gatewayparts.make_entry(f'i-{number}', SLOTS))
     holds = {
-        entry.id: SLOW_HOLD if number % 3 == 0 else FAST_HOLD
+        entry.start: SLOW_HOLD if number % 3 == 0 else FAST_HOLD
         for number, entry in enumerate(known.list_all())
     }
     fitness = health.Health()
     if lost_group is not None:
         gone = groups.Partition(GROUPS, lost_group)
         for entry in gone.select_runners(known.list_open(gatewayparts.POOL)):
-            fitness.note_gone(entry.id)
+            fitness.note_gone(entry.start)
     schedulers = [
         scheduler.Scheduler(
             known, pace.Paces(), fitness, QuietPeers(own), spread
@@ -91,19 +91,19 @@
 def _play(
     schedulers: list[scheduler.Scheduler],
     rate: float,
-    holds: dict[ids.Runner, float],
+    holds: dict[ids.RunnerStart, float],
     spread: random.Random,
     is_told: bool,
 ) -> Outcome:
     outcome = Outcome()
     numbers = itertools.count()
     # Time, tie breaker, what happens, group, runner.
-    events: list[tuple[float, int, str, int, ids.Runner]] = []
+    events: list[tuple[float, int, str, int, ids.RunnerStart]] = []
     open_tickets: list[tuple[int, waiting.Ticket]] = []
 
     def push(at: float, what: str, group: int, runner: str = '') -> None:
         heapq.heappush(
-            events, (at, next(numbers), what, group, ids.Runner(runner))
+            events, (at, next(numbers), what, group, ids.RunnerStart(runner))
         )
 
     def settle(now: float) -> None:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -31,12 +31,12 @@
     """Other hosts that run and want what a test says."""
 
     def __init__(self) -> None:
-        self.running: dict[ids.Runner, int] = {}
+        self.running: dict[ids.RunnerStart, int] = {}
         self.ranks: list[waiting.Rank] = []
         self.silent = 0.0
         self.partition = groups.Partition()
 
-    def count_running(self, runner: ids.Runner) -> int:
+    def count_running(self, runner: ids.RunnerStart) -> int:
         return self.running.get(runner, 0)
 
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
@@ -107,7 +107,10 @@
         self.assertIsNone(self.enter(0.0).decision)
 
     def test_places_of_peers_count(self) -> None:
-        self.others.running = {ids.Runner('r1'): 2, ids.Runner('r2'): 2}
+        self.others.running = {
+            gatewayparts.make_start('r1'): 2,
+            gatewayparts.make_start('r2'): 2,
+        }
         self.assertIsNone(self.enter(0.0).decision)
 
     def test_higher_tier_goes_first(self) -> None:
@@ -199,21 +202,23 @@
     def test_stated_load_shows_that_silent_peers_are_gone(self) -> None:
         self.others.silent = 0.5
         for name in ('r1', 'r2'):
-            self.scheduler.note_load(ids.Runner(name), (0, 0), 0.0)
+            self.scheduler.note_load(
+                gatewayparts.make_start(name), (0, 0), 0.0
+            )
         granted = [self.enter(0.1).decision for _ in range(4)]
         count = sum(isinstance(item, waiting.Grant) for item in granted)
         self.assertEqual(4, count)
 
     def test_failing_runner_is_avoided_while_others_are_free(self) -> None:
         for _ in range(3):
-            self.health.note_failure(ids.Runner('r1'), 0.0)
+            self.health.note_failure(gatewayparts.make_start('r1'), 0.0)
         for _ in range(2):
             grant = self.enter(0.1).decision
             assert isinstance(grant, waiting.Grant)
-            self.assertEqual('r2', grant.runner)
+            self.assertEqual(gatewayparts.make_start('r2'), grant.runner)
 
     def test_closed_runner_gets_nothing_though_it_is_free(self) -> None:
-        self.health.note_unreachable(ids.Runner('r1'), 0.0)
+        self.health.note_unreachable(gatewayparts.make_start('r1'), 0.0)
         granted = [self.enter(0.1).decision for _ in range(4)]
         count = sum(isinstance(item, waiting.Grant) for item in granted)
         self.assertEqual(2, count)
@@ -221,14 +226,14 @@
     def test_faster_runner_is_taken_first(self) -> None:
         for _ in range(5):
             self.paces.note_first(
-                gatewayparts.POOL, ids.Runner('r1'), 100, 0.5
+                gatewayparts.POOL, gatewayparts.make_start('r1'), 100, 0.5
             )
             self.paces.note_first(
-                gatewayparts.POOL, ids.Runner('r2'), 100, 0.05
+                gatewayparts.POOL, gatewayparts.make_start('r2'), 100, 0.05
             )
         grant = self.enter(0.0).decision
         assert isinstance(grant, waiting.Grant)
-        self.assertEqual('r2', grant.runner)
+        self.assertEqual(gatewayparts.make_start('r2'), grant.runner)
 
 
 class TestQuotas(testtools.TestCase):
@@ -358,7 +363,7 @@
         self.runners.update(gatewayparts.make_entry('r1', is_draining=True))
         self.runners.note_outage(9.9)
         self.runners.remove(ids.Runner('r1'), 10.0)
-        self.assertIsNone(self.runners.find(ids.Runner('r1')))
+        self.assertIsNone(self.runners.find(gatewayparts.make_start('r1')))
 
 
 class TestHealth(testtools.TestCase):
@@ -367,11 +372,13 @@
     def setUp(self) -> None:
         super().setUp()
         self.health = health.Health()
-        self.names = [ids.Runner(name) for name in ('r1', 'r2', 'r3')]
+        self.names = [
+            gatewayparts.make_start(name) for name in ('r1', 'r2', 'r3')
+        ]
 
     def note(self, name: str, times: int, now: float = 0.0) -> None:
         for _ in range(times):
-            self.health.note_failure(ids.Runner(name), now)
+            self.health.note_failure(gatewayparts.make_start(name), now)
 
     def test_one_failure_is_forgiven(self) -> None:
         self.note('r1', 1)
@@ -379,7 +386,9 @@
 
     def test_failing_runner_is_avoided(self) -> None:
         self.note('r1', 3)
-        self.assertEqual({'r1'}, self.health.list_avoided(self.names, 0.1))
+        self.assertEqual(
+            {self.names[0]}, self.health.list_avoided(self.names, 0.1)
+        )
 
     def test_avoided_runner_is_tried_again(self) -> None:
         self.note('r1', 3)
@@ -388,7 +397,7 @@
     def test_dead_runner_gets_nothing_for_a_while(self) -> None:
         # Under overload every request tried a crashed runner first: a dead
         # one always has free places, and its registration outlives it.
-        runner = ids.Runner('r1')
+        runner = gatewayparts.make_start('r1')
         self.health.note_unreachable(runner, 0.0)
         self.assertTrue(self.health.is_closed(runner, 0.4))
         self.assertFalse(self.health.is_closed(runner, 0.6))
@@ -396,8 +405,10 @@
         self.assertTrue(self.health.is_closed(runner, 1.5))
 
     def test_runner_that_was_replaced_stays_closed(self) -> None:
-        self.health.note_gone(ids.Runner('r1'))
-        self.assertTrue(self.health.is_closed(ids.Runner('r1'), 99.0))
+        self.health.note_gone(gatewayparts.make_start('r1'))
+        self.assertTrue(
+            self.health.is_closed(gatewayparts.make_start('r1'), 99.0)
+        )
 
     def test_nobody_is_avoided_if_all_fail_alike(self) -> None:
         for name in self.names:
@@ -534,7 +545,9 @@
             is_stopping=False,
             reads_store=True,
             positions=[1, 1],
-            running={ids.Runner(name): n for name, n in running.items()},
+            running={
+                gatewayparts.make_start(name): n for name, n in running.items()
+            },
             usage={},
             ranks={},
             hints={},
@@ -548,23 +561,23 @@
         found = self.make_mesh()
         found.take(self.make_state(1, {'r1': 3}), 0.0)
         found.take(self.make_state(2, {'r1': 1, 'r2': 2}), 0.1)
-        self.assertEqual(1, found.count_running(ids.Runner('r1')))
-        self.assertEqual(2, found.count_running(ids.Runner('r2')))
+        self.assertEqual(1, found.count_running(gatewayparts.make_start('r1')))
+        self.assertEqual(2, found.count_running(gatewayparts.make_start('r2')))
 
     def test_state_that_arrives_late_is_left_out(self) -> None:
         found = self.make_mesh()
         found.take(self.make_state(2, {'r1': 1}), 0.0)
         found.take(self.make_state(1, {'r1': 3}), 0.1)
-        self.assertEqual(1, found.count_running(ids.Runner('r1')))
+        self.assertEqual(1, found.count_running(gatewayparts.make_start('r1')))
 
     def test_silent_peer_is_left_out_until_it_is_heard(self) -> None:
         found = self.make_mesh()
         found.take(self.make_state(1, {'r1': 3}), 0.0)
         found.drop_silent(1.0)
-        self.assertEqual(0, found.count_running(ids.Runner('r1')))
+        self.assertEqual(0, found.count_running(gatewayparts.make_start('r1')))
         self.assertEqual(0.5, found.find_silent_share())
         found.take(self.make_state(2, {'r1': 2}), 1.1)
-        self.assertEqual(2, found.count_running(ids.Runner('r1')))
+        self.assertEqual(2, found.count_running(gatewayparts.make_start('r1')))
         self.assertEqual(0.0, found.find_silent_share())
 
     def test_restarted_peer_replaces_its_predecessor(self) -> None:
@@ -572,7 +585,7 @@
         found.take(self.make_state(9, {'r1': 3}), 0.0)
         found.take(self.make_state(1, {'r1': 1}, 'b/2'), 0.1)
         found.take(self.make_state(10, {'r1': 3}), 0.2)
-        self.assertEqual(1, found.count_running(ids.Runner('r1')))
+        self.assertEqual(1, found.count_running(gatewayparts.make_start('r1')))
 
     def test_host_that_looks_for_a_dead_one_goes_on_telling(self) -> None:
         # A host fell silent for its peers. It looked for a host that is
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -48,7 +48,7 @@
 
     partition = groups.Partition(2, 0)
 
-    def count_running(self, runner: ids.Runner) -> int:
+    def count_running(self, runner: ids.RunnerStart) -> int:
         return 0
 
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
@@ -79,10 +79,12 @@
 
     def test_each_runner_belongs_to_one_group(self) -> None:
         entries = make_entries(56)
-        counts: collections.Counter[ids.Runner] = collections.Counter()
+        counts: collections.Counter[ids.RunnerStart] = collections.Counter()
         for group in range(5):
             found = groups.Partition(5, group)
-            counts.update(entry.id for entry in found.select_runners(entries))
+            counts.update(
+                entry.start for entry in found.select_runners(entries)
+            )
         self.assertEqual({1}, set(counts.values()))
         self.assertEqual(56, len(counts))
 
@@ -177,7 +179,7 @@
                 is_stopping=False,
                 reads_store=True,
                 positions=[1, 1],
-                running={ids.Runner('r1'): 1},
+                running={gatewayparts.make_start('r1'): 1},
                 usage={},
                 ranks={gatewayparts.POOL: [waiting.Rank(0, 0, False, 1.0)]},
                 hints={},
@@ -191,7 +193,7 @@
 
     def test_only_near_peers_count(self) -> None:
         self.hear_all(0.1)
-        count = self.mesh.count_running(ids.Runner('r1'))
+        count = self.mesh.count_running(gatewayparts.make_start('r1'))
         self.assertEqual(len(self.near), count)
         self.assertEqual(count, len(self.mesh.list_waiting(gatewayparts.POOL)))
         self.assertEqual(61, self.mesh.count_hosts())
@@ -223,7 +225,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.spares = spares.Spares()
-        self.runner = ids.Runner('i-9')
+        self.runner = gatewayparts.make_start('i-9')
 
     def test_some_places_stay_with_their_group(self) -> None:
         self.spares.hear(1, {self.runner: spares.LEFT_PLACES + 3}, 0.0)
@@ -261,11 +263,11 @@
         own = self.others.partition.select_runners(
             known.list_open(gatewayparts.POOL)
         )
-        self.own = {entry.id for entry in own}
+        self.own = {entry.start for entry in own}
         self.far = [
-            entry.id
+            entry.start
             for entry in known.list_open(gatewayparts.POOL)
-            if entry.id not in self.own
+            if entry.start not in self.own
         ]
         self.count = 0
 
@@ -287,7 +289,7 @@
         self.scheduler.enter(ticket, 0.0)
         return ticket
 
-    def find_runner(self, ticket: waiting.Ticket) -> ids.Runner | None:
+    def find_runner(self, ticket: waiting.Ticket) -> ids.RunnerStart | None:
         decision = ticket.decision
         return decision.runner if isinstance(decision, waiting.Grant) else None
 
--- /dev/null
+++ b/tests/test_gateway_starts.py
@@ -0,0 +1,315 @@
+"""What is believed of a runner ends with the start that it is believed of."""
+
+import random
+
+import testtools
+
+from apricotlanding import addresses
+from apricotlanding import ids
+from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway.decisions import spares
+from apricotlandingd.gateway.decisions import waiting
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
+import gatewayparts
+
+RUNNER = ids.Runner('r1')
+# Unix milliseconds: two starts of the runner.
+EARLY, LATE = 1000, 2000
+EARLIER = gatewayparts.make_start('r1', EARLY)
+LATER = gatewayparts.make_start('r1', LATE)
+
+
+def make_entry(birth: int | None, **more: bool) -> dialect.RunnerEntry:
+    """Return a registration of the runner."""
+    return gatewayparts.make_entry('r1', birth=birth, **more)
+
+
+class TestIdentity(testtools.TestCase):
+    """The identity of a start."""
+
+    def test_holds_id_and_birth(self) -> None:
+        for name in ('r1', '', '@', '12@r1', 'ü'):
+            for birth in (None, 0, 1_764_726_589_123):
+                start = ids.make_runner_start(ids.Runner(name), birth)
+                self.assertEqual(name, ids.find_runner(start))
+                self.assertEqual(birth, ids.read_birth(start))
+
+    def test_order_of_starts(self) -> None:
+        self.assertTrue(ids.has_run_before(EARLIER, LATER))
+        self.assertFalse(ids.has_run_before(LATER, EARLIER))
+        self.assertFalse(ids.has_run_before(LATER, LATER))
+
+    def test_other_runners_are_not_ended(self) -> None:
+        other = gatewayparts.make_start('r2', EARLY)
+        self.assertFalse(ids.has_run_before(other, LATER))
+
+    def test_start_without_birth_ends_none(self) -> None:
+        nameless = gatewayparts.make_start('r1')
+        self.assertFalse(ids.has_run_before(EARLIER, nameless))
+        self.assertTrue(ids.has_run_before(nameless, EARLIER))
+
+
+class TestDirectory(testtools.TestCase):
+    """Registrations of one id by several starts."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.runners = directory.Directory(2.0)
+        self.runners.update(make_entry(EARLY))
+
+    def list_open(self) -> list[ids.RunnerStart]:
+        return [
+            entry.start for entry in self.runners.list_open(gatewayparts.POOL)
+        ]
+
+    def test_later_birth_replaces_the_start(self) -> None:
+        news = self.runners.update(make_entry(LATE))
+        self.assertIs(directory.News.START, news)
+        self.assertIsNone(self.runners.find(EARLIER))
+        self.assertEqual([LATER], self.list_open())
+
+    def test_same_birth_changes_the_entry(self) -> None:
+        news = self.runners.update(make_entry(EARLY, is_draining=True))
+        self.assertIs(directory.News.SAME, news)
+        self.assertEqual([], self.list_open())
+
+    def test_earlier_birth_is_outdated(self) -> None:
+        # Callers are refused although the runner takes requests: the last
+        # word of its earlier start, that it drains, was written after the
+        # registration of the later one.
+        self.runners.update(make_entry(LATE))
+        news = self.runners.update(make_entry(EARLY, is_draining=True))
+        self.assertIs(directory.News.OUTDATED, news)
+        self.assertEqual([LATER], self.list_open())
+
+    def test_earlier_birth_does_not_bring_a_runner_back(self) -> None:
+        # Requests are sent to an address where nobody listens. The runner
+        # has left for good, and then a write of its earlier start, which the
+        # store had held back, is done.
+        self.runners.update(make_entry(LATE))
+        self.runners.remove(RUNNER, 10.0)
+        self.runners.expire(16.0)
+        self.runners.update(make_entry(EARLY))
+        self.assertEqual([], self.list_open())
+
+    def test_runner_with_an_earlier_clock_is_taken_in_the_end(self) -> None:
+        # A runner is never used again: it moved to a machine whose clock is
+        # behind, and its birth is compared with that of a start that has
+        # been gone for long.
+        self.runners.update(make_entry(LATE))
+        self.runners.remove(RUNNER, 10.0)
+        self.runners.expire(10.1 + directory.BIRTH_MEMORY)
+        self.runners.update(make_entry(EARLY))
+        self.assertEqual([EARLIER], self.list_open())
+
+    def test_lapse_and_return_of_the_same_start(self) -> None:
+        self.runners.note_outage(9.9)
+        self.runners.remove(RUNNER, 10.0)
+        news = self.runners.update(make_entry(EARLY))
+        self.assertIs(directory.News.SAME, news)
+        self.runners.expire(20.0)
+        self.assertEqual([EARLIER], self.list_open())
+
+    def test_outdated_entry_does_not_end_a_lapse(self) -> None:
+        # The registration of the later start lapsed in an outage and does
+        # not come back: the runner is gone. A late word of the earlier start
+        # must not make it stay.
+        self.runners.update(make_entry(LATE))
+        self.runners.note_outage(9.9)
+        self.runners.remove(RUNNER, 10.0)
+        self.runners.update(make_entry(EARLY))
+        self.runners.expire(13.0)
+        self.assertEqual([], self.list_open())
+
+    def test_entry_without_birth_is_of_the_known_start(self) -> None:
+        news = self.runners.update(make_entry(None, is_draining=True))
+        self.assertIs(directory.News.SAME, news)
+        self.assertIsNotNone(self.runners.find(EARLIER))
+        self.assertEqual([], self.list_open())
+
+
+class TestBeliefs(testtools.TestCase):
+    """Places, loads, speed and failures, after the runner started again."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.spread = random.Random(7)
+        self.runners = directory.Directory(2.0)
+        self.runners.update(make_entry(EARLY))
+        self.others = mesh.Mesh(
+            ids.Host('host-a'),
+            addresses.Address('127.0.0.1', 1),
+            (),
+            self.spread,
+        )
+        self.paces = pace.Paces()
+        self.health = health.Health()
+        self.scheduler = scheduler.Scheduler(
+            self.runners, self.paces, self.health, self.others, self.spread
+        )
+
+    def enter(self, now: float, last_part: str = '') -> waiting.Ticket:
+        ticket = waiting.Ticket(
+            attempt=f'a-{now}',
+            service=gatewayparts.POOL,
+            tier=ids.Tier(0),
+            route_tier=ids.Tier(0),
+            arrived_at=now,
+            on_time_by=now + 1.0,
+            useful_until=now + 1.0,
+            ends_at=now + 3.0,
+            prompt_tokens=0,
+            events=10,
+            last_part=last_part,
+        )
+        self.scheduler.enter(ticket, now)
+        return ticket
+
+    def fill(self) -> None:
+        for _ in range(2):
+            grant = self.enter(0.0).decision
+            assert isinstance(grant, waiting.Grant)
+            self.assertEqual(EARLIER, grant.runner)
+
+    def hear(self, number: int, start: ids.RunnerStart) -> None:
+        state = messages.HostState(
+            host=ids.Host('host-b'),
+            incarnation=ids.Incarnation('host-b/1'),
+            state_address='127.0.0.2:1',
+            peers_address='127.0.0.2:2',
+            number=number,
+            is_stopping=False,
+            reads_store=True,
+            positions=[1, 1],
+            running={start: 2},
+            usage={},
+            ranks={},
+            hints={},
+        )
+        self.others.take(state, 0.0)
+
+    def assert_granted(self, ticket: waiting.Ticket) -> None:
+        grant = ticket.decision
+        assert isinstance(grant, waiting.Grant)
+        self.assertEqual(LATER, grant.runner)
+
+    def test_own_places_are_free_again(self) -> None:
+        # Callers are refused for as long as the requests that the crashed
+        # process had would have lasted.
+        self.fill()
+        self.runners.update(make_entry(LATE))
+        self.assert_granted(self.enter(1.0))
+
+    def test_release_of_an_earlier_place_frees_none(self) -> None:
+        # The runner is overfilled: requests that ended with the earlier
+        # start give their places back after the later one has filled up.
+        self.fill()
+        self.runners.update(make_entry(LATE))
+        for _ in range(2):
+            self.assert_granted(self.enter(1.0))
+        self.scheduler.release(gatewayparts.POOL, EARLIER, 1.1)
+        self.assertIsNone(self.enter(1.1).decision)
+
+    def test_places_of_peers_are_free_again(self) -> None:
+        # A peer that has not heard of the restart still tells the requests
+        # that it has at the earlier start.
+        self.hear(1, EARLIER)
+        self.assertIsNone(self.enter(0.0).decision)
+        self.runners.update(make_entry(LATE))
+        self.hear(2, EARLIER)
+        self.assert_granted(self.enter(0.0))
+
+    def test_places_of_peers_at_the_later_start_count(self) -> None:
+        self.runners.update(make_entry(LATE))
+        self.hear(1, LATER)
+        self.assertIsNone(self.enter(0.0).decision)
+
+    def test_failures_are_forgotten(self) -> None:
+        # A runner that crashed took no connection and is left alone for
+        # seconds, although it has started again.
+        for _ in range(4):
+            self.health.note_unreachable(EARLIER, 0.0)
+        self.health.note_gone(EARLIER)
+        self.runners.update(make_entry(LATE))
+        self.assert_granted(self.enter(0.1))
+
+    def test_late_answers_teach_nothing(self) -> None:
+        # Answers that the earlier start had sent arrive after its end.
+        self.runners.update(make_entry(LATE))
+        self.paces.note_first(gatewayparts.POOL, EARLIER, 0, 9.0)
+        for _ in range(4):
+            self.health.note_failure(EARLIER, 0.0)
+        self.assertEqual(set(), self.health.list_avoided([LATER, LATER], 0.1))
+        self.paces.keep_only({LATER})
+        found = self.paces.find(gatewayparts.POOL, LATER)
+        self.assertEqual(pace.FIRST_START, found.start_s)
+
+    def test_stated_loads_are_dropped(self) -> None:
+        # Each restart left an entry behind for as long as the process ran.
+        self.scheduler.note_load(EARLIER, (2, 0), 0.0)
+        self.scheduler.keep_only({LATER})
+        self.assertEqual({}, self.scheduler._loads)
+
+    def test_spare_places_of_the_earlier_start_are_not_used(self) -> None:
+        self.scheduler.spares.hear(1, {EARLIER: 5 + spares.LEFT_PLACES}, 0.0)
+        self.runners.update(make_entry(LATE))
+        for _ in range(2):
+            self.assert_granted(self.enter(0.0))
+        self.assertIsNone(self.enter(0.0).decision)
+
+
+class TestPrefixes(testtools.TestCase):
+    """What a runner has read of prompts."""
+
+    def test_reborn_runner_has_read_nothing(self) -> None:
+        # A caller waits while the prompt is read anew: the request went to a
+        # slower runner that had read its prompt before it started again.
+        runners = directory.Directory(2.0)
+        quick, slow = (gatewayparts.make_start(name, 1) for name in 'ab')
+        for name in 'ab':
+            runners.update(gatewayparts.make_entry(name, birth=1))
+        paces = pace.Paces()
+        found = scheduler.Scheduler(
+            runners,
+            paces,
+            health.Health(),
+            mesh.Mesh(
+                ids.Host('host-a'),
+                addresses.Address('127.0.0.1', 1),
+                (),
+                random.Random(7),
+            ),
+            random.Random(7),
+        )
+        reborn = gatewayparts.make_start('b', 2)
+        for start, seconds in ((quick, 0.05), (slow, 0.9), (reborn, 0.9)):
+            paces.note_first(gatewayparts.POOL, start, 0, seconds)
+        found.note_part('p', slow, 0.0)
+        self.assertEqual(slow, self.choose(found))
+        runners.update(gatewayparts.make_entry('b', birth=2))
+        self.assertEqual(quick, self.choose(found))
+
+    def choose(self, found: scheduler.Scheduler) -> ids.RunnerStart:
+        ticket = waiting.Ticket(
+            attempt='a',
+            service=gatewayparts.POOL,
+            tier=ids.Tier(0),
+            route_tier=ids.Tier(0),
+            arrived_at=0.0,
+            on_time_by=1.0,
+            useful_until=1.0,
+            ends_at=3.0,
+            prompt_tokens=20000,
+            events=1,
+            last_part='p',
+        )
+        found.enter(ticket, 0.0)
+        grant = ticket.decision
+        assert isinstance(grant, waiting.Grant)
+        found.release(gatewayparts.POOL, grant.runner, 0.0)
+        return grant.runner
