Describe the starts of a runner; test their clients and registrations

Cause: the ways weighed and what operators see of a restart were written nowhere; the clients' rules were tested only through whole systems.

Conclusion: documentation and tests only.

--- a/packages/apricotlanding/src/apricotlanding/ids.py
+++ b/packages/apricotlanding/src/apricotlanding/ids.py
@@ -8,6 +8,11 @@
 one daemon process: a restarted daemon has the same host and a new
 incarnation, and nothing that an earlier incarnation promised binds it.
 
+A *runner start* is one run of a runner's process, which may start again under
+its registered id. What is held for a runner is held for one start of it; the
+registered id alone is for the wire, for logs, and for choices that must not
+change when a runner starts again.
+
 An incarnation's name tells which earlier ones are dead. It contains a digest
 of the kernel's boot and of the address that the daemon listens on, and the
 time of its start on that kernel's clock. Two processes cannot listen on one
--- a/tests/test_gateway_starts.py
+++ b/tests/test_gateway_starts.py
@@ -1,11 +1,15 @@
 """What is believed of a runner ends with the start that it is believed of."""
 
+import dataclasses
+import json
 import random
 
+import anyio
 import testtools
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlanding import webclient
 from apricotlandingd.gateway.decisions import places
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.decisions import spares
@@ -13,9 +17,12 @@
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.requests import runnerclients
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import pace
+from apricotplatform import registrations
 import gatewayparts
 
 RUNNER = ids.Runner('r1')
@@ -366,3 +373,73 @@
         self.assert_running(late=3)
         self.places.hand_over(EARLIER, LATER, 1)
         self.assert_running(late=3)
+
+
+class TestClients(testtools.TestCase):
+    """Connections to the starts of one runner."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clients = runnerclients.RunnerClients()
+        self.earlier = self.clients.find(make_entry(EARLY))
+
+    async def send(self, client: runnerclient.RunnerClient) -> None:
+        call = runnerclient.Call('GET', '/', [(b'host', b'a')], b'', False)
+        async with client.open(call):
+            return
+
+    def test_each_start_has_a_client_of_its_own(self) -> None:
+        self.assertIs(self.earlier, self.clients.find(make_entry(EARLY)))
+        self.assertIsNot(self.earlier, self.clients.find(make_entry(LATE)))
+
+    def test_client_goes_to_the_registered_address(self) -> None:
+        # Requests go on to an address that the registration named before.
+        moved = dataclasses.replace(
+            make_entry(EARLY), address=addresses.Address('127.0.0.1', 2)
+        )
+        self.assertIsNot(self.earlier, self.clients.find(moved))
+
+    def test_nothing_is_sent_to_a_start_that_ended(self) -> None:
+        # A request got its place just before the runner was known to have
+        # started again, and connects just after: the new process at the old
+        # address would run it under the name of the earlier start.
+        self.clients.end_earlier(LATER)
+        error = self.assertRaises(
+            webclient.NotSent, anyio.run, self.send, self.earlier
+        )
+        self.assertIn('left', str(error))
+
+    def test_same_start_and_other_runners_go_on(self) -> None:
+        other = gatewayparts.make_entry('r2', birth=EARLY)
+        client = self.clients.find(other)
+        self.clients.end_earlier(EARLIER)
+        self.clients.end_earlier(gatewayparts.make_start('r1'))
+        self.assertIs(self.earlier, self.clients.find(make_entry(EARLY)))
+        self.clients.end_earlier(LATER)
+        self.assertIs(client, self.clients.find(other))
+
+    def test_start_that_comes_back_can_be_used(self) -> None:
+        # A runner gets no request any more: its registration went for a
+        # moment and came back, and the client that was let go meanwhile
+        # takes none.
+        anyio.run(self.clients.tidy, [], 1.0)
+        self.assertIsNot(self.earlier, self.clients.find(make_entry(EARLY)))
+
+
+class TestRegistrations(testtools.TestCase):
+    """The birth that a runner registers."""
+
+    def decode(self, **more: object) -> dialect.RunnerEntry:
+        plain = {'service': 'pool', 'address': '127.0.0.1:1'} | more
+        return registrations.decode_runner('r1', json.dumps(plain).encode())
+
+    def test_birth_is_part_of_the_identity(self) -> None:
+        self.assertEqual(EARLIER, self.decode(born=EARLY).start)
+
+    def test_runner_without_birth_has_one_start(self) -> None:
+        self.assertEqual(gatewayparts.make_start('r1'), self.decode().start)
+
+    def test_birth_that_is_no_whole_number(self) -> None:
+        wrong: tuple[object, ...] = (None, '1000', 1000.0, [1000], {})
+        for birth in wrong:
+            self.assertRaises(ValueError, self.decode, born=birth)
