--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -31,8 +31,8 @@
 # what was sent to it just before arrives in time.
 DRAIN_MARGIN = 0.5
 # Seconds for which the birth of a runner that is gone is remembered: longer
-# than the platform may take to carry out a write of an earlier start, which
-# was seen to be six.
+# than the few seconds that the store may take to carry out a write of an
+# earlier start. Chosen, not measured.
 BIRTH_MEMORY = 15.0
 
 
