Keep the count of connections when a runner leaves

Cause: runner_connects_total summed the clients that are known, so it fell with each runner that left, and more often with clients held by start.

Change: what clients made that were let go is kept.

Figures: the new test fails on the sum of known clients (0 instead of 3).

Conclusion: the metric counts up only.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclients.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclients.py
@@ -29,7 +29,7 @@
 __all__ = ['RunnerClients']
 
 # A start of a runner, and where it is registered to listen.
-_Place = tuple[ids.RunnerStart, addresses.Address]
+_Endpoint = tuple[ids.RunnerStart, addresses.Address]
 
 
 @ty.final
@@ -47,24 +47,28 @@
 
     def __init__(self) -> None:
         """Start without connections."""
-        self._clients: dict[_Place, runnerclient.RunnerClient] = {}
+        self._clients: dict[_Endpoint, runnerclient.RunnerClient] = {}
         self._leaving: list[_Leaving] = []
+        # Connections that were made by clients that were let go.
+        self._past_connects = 0
         # Starts that ended earlier ones, whose connections are to be closed.
         self._later: list[ids.RunnerStart] = []
         self._has_later = anyio.Event()
 
     def find(self, entry: dialect.RunnerEntry) -> runnerclient.RunnerClient:
         """Return the client for a registered start."""
-        place = (entry.start, entry.address)
-        client = self._clients.get(place)
+        endpoint = (entry.start, entry.address)
+        client = self._clients.get(endpoint)
         if client is None:
             client = runnerclient.RunnerClient(entry.address)
-            self._clients[place] = client
+            self._clients[endpoint] = client
         return client
 
     def count_connects(self) -> float:
-        """Return the connections made to the runners that are known."""
-        return sum(client.connects for client in self._clients.values())
+        """Return the connections made to runners since the start."""
+        return self._past_connects + sum(
+            client.connects for client in self._clients.values()
+        )
 
     def end_earlier(
         self, later: ids.RunnerStart
@@ -77,9 +81,9 @@
         birth = ids.read_birth(later)
         if birth is None:
             return {}
-        for place in list(self._clients):
-            if ids.has_run_before(place[0], later):
-                self._let_go(place)
+        for endpoint in list(self._clients):
+            if ids.has_run_before(endpoint[0], later):
+                self._let_go(endpoint)
         kept: dict[ids.RunnerStart, int] = {}
         for leaving in self._leaving:
             if not ids.has_run_before(leaving.start, later):
@@ -103,10 +107,10 @@
     ) -> None:
         """Close idle connections, and let go of runners that are gone."""
         known = {(entry.start, entry.address) for entry in entries}
-        for place, client in list(self._clients.items()):
+        for endpoint, client in list(self._clients.items()):
             await client.close_expired(now)
-            if place not in known and place in self._clients:
-                self._let_go(place)
+            if endpoint not in known and endpoint in self._clients:
+                self._let_go(endpoint)
         for leaving in self._leaving:
             await leaving.client.close()
         # Kept while they are used: the end of the start may yet be told.
@@ -119,10 +123,11 @@
         for client in self._clients.values():
             await client.close()
 
-    def _let_go(self, place: _Place) -> None:
-        client = self._clients.pop(place)
+    def _let_go(self, endpoint: _Endpoint) -> None:
+        client = self._clients.pop(endpoint)
         client.stop()
-        self._leaving.append(_Leaving(place[0], client))
+        self._past_connects += client.connects
+        self._leaving.append(_Leaving(endpoint[0], client))
 
     async def _close_earlier(self, later: ids.RunnerStart) -> None:
         birth = ids.read_birth(later)
--- a/tests/test_gateway_starts.py
+++ b/tests/test_gateway_starts.py
@@ -425,6 +425,14 @@
         anyio.run(self.clients.tidy, [], 1.0)
         self.assertIsNot(self.earlier, self.clients.find(make_entry(EARLY)))
 
+    def test_connections_are_counted_for_good(self) -> None:
+        # The metric falls with each runner that leaves, which readers take
+        # for a restart of this process.
+        self.earlier.connects = 3
+        self.clients.end_earlier(LATER)
+        anyio.run(self.clients.tidy, [], 1.0)
+        self.assertEqual(3, self.clients.count_connects())
+
 
 class TestRegistrations(testtools.TestCase):
     """The birth that a runner registers."""
