Read what has come on a connection before a stop closes it

Cause: the server closes the connections that are idle for the program. One may hold a request all the same, unread because the process did not run, or half of a head; its caller got a reset, or a closed connection, and no word.

Change: a connection with unread bytes or an open head stays open for that one request and is closed after its answer.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import math
+import select
 import socket
 import typing as ty
 
@@ -151,6 +152,27 @@
 
     _is_head_open = False
     _head_bytes = 0
+    # The server closes; what has come is still read and answered.
+    _is_last = False
+
+    def shutdown(self) -> None:
+        # A connection that is idle for the program may hold a request: in
+        # the socket, because the process did not run for a while, or as half
+        # of a head. Closed now, its caller would get a reset and no word.
+        # Anything that comes later meets a closed connection.
+        is_idle = self.cycle is None or self.cycle.response_complete
+        if is_idle and (self._is_head_open or self._has_unread()):
+            self._is_last = True
+            return
+        super().shutdown()
+
+    def _has_unread(self) -> bool:
+        if self.transport.is_closing():
+            return False
+        poller = select.poll()
+        raw = self.transport.get_extra_info('socket')
+        poller.register(raw.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
 
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
@@ -171,6 +193,8 @@
     def on_headers_complete(self) -> None:
         self._is_head_open = False
         super().on_headers_complete()
+        if self._is_last:
+            self.cycle.keep_alive = False
 
 
 @ty.final
