Tell each caller the truth when the grace of a stop is over

Cause: the end of the process cancelled the tasks of the server, which answers each with a bare 500. A caller whose request waited for a place was not told that it had not run; the others not that it may have.

Change: at nine tenths of the grace requests in progress are given up by the gateway itself: 503 with Retry-After where nothing was sent, 502 where a runner may be at work, and a stream that has begun ends without its end. The answers have a twentieth of the grace to leave. The log line says the same.

Price: what a runner would have finished between nine tenths and 94% of the grace is given up now.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -376,6 +376,13 @@
         'the time of the route or of the caller ended while a runner worked',
         'it may have run; check what it did before you send it again',
     )
+    HOST_STOPPED = Template(
+        'APL610',
+        502,
+        Outcome.UNKNOWN,
+        'this host stopped while a runner worked on the request',
+        'it may have run; check what it did before you send it again',
+    )
 
 
 @ty.final
--- a/packages/apricotlanding/src/apricotlanding/shutdown.py
+++ b/packages/apricotlanding/src/apricotlanding/shutdown.py
@@ -3,7 +3,8 @@
     asked        not ready any more; answers tell callers to go elsewhere
     notice over  the listener closes, and with it each idle connection
     all closed   the process ends
-    grace over   the process ends with what is left, just before it is killed
+    grace over   what is left is given up, each request with a true answer
+    last words   the process ends, just before it is killed
 
 The end follows the connections. Requests in progress are the wrong thing to
 ask for: one that was just read is not counted yet, and one that is answered
@@ -24,9 +25,12 @@
 # Part of the grace that the notice may use where the grace is short. The rest
 # is for what is in progress.
 NOTICE_PART = 2 / 3
+# Part of the grace after which requests in progress are given up. What their
+# callers are told then needs the rest to leave.
+GIVE_UP_PART = 0.9
 # Part of the grace after which the process ends although connections are
 # open: the kill that follows would end them without a line in the log.
-END_PART = 0.94
+END_PART = 0.95
 
 
 @ty.final
@@ -36,6 +40,8 @@
 
     # The listener closes.
     close_at: float
+    # Requests in progress are given up.
+    give_up_at: float
     # The process ends with what is open.
     end_at: float
 
@@ -53,7 +59,11 @@
 def make_plan(grace_s: float, now: float) -> Plan:
     """Return the times of a stop asked for now, with a grace in seconds."""
     notice_s = min(NOTICE, grace_s * NOTICE_PART)
-    return Plan(now + notice_s, now + grace_s * END_PART)
+    return Plan(
+        close_at=now + notice_s,
+        give_up_at=now + grace_s * GIVE_UP_PART,
+        end_at=now + grace_s * END_PART,
+    )
 
 
 async def finish(intake: Intake, left_s: float) -> bool:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -550,8 +550,12 @@
         self._log_stop('gateway:stopping')
         await anyio.sleep(plan.close_at - clocks.read_monotonic())
         self._log_stop('gateway:listener_closing')
-        left_s = plan.end_at - clocks.read_monotonic()
-        await shutdown.finish(self._server, left_s)
+        left_s = plan.give_up_at - clocks.read_monotonic()
+        if not await shutdown.finish(self._server, left_s):
+            self._log_stop('gateway:grace_over')
+            self._listener.end_requests()
+            left_s = plan.end_at - clocks.read_monotonic()
+            await shutdown.finish(self._server, left_s)
         self._log_stop('gateway:drained')
 
     def _log_stop(self, kind: str) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -155,17 +155,18 @@
         self._first_at: float | None = None
         # Seconds spent waiting for places.
         self._waited_s = 0.0
+        # All work on the request; cancelled by ``end``.
+        self._work = anyio.CancelScope()
         self._runner: ids.RunnerStart | None = None
         self._detail = ''
 
     async def run(self) -> None:
         """Answer the request."""
         try:
-            problem = await self._admit()
-            if problem is not None:
-                await self._refuse(problem)
-                return
-            await self._serve_until_gone()
+            with self._work:
+                await self._answer()
+            if self._work.cancelled_caught:
+                await self._end_with_host()
         except asgi.Disconnected:
             # The caller left before its request had arrived.
             return
@@ -177,6 +178,26 @@
         finally:
             self._finish(clocks.read_monotonic())
 
+    def end(self) -> None:
+        """Give the request up, because the process is about to end."""
+        self._work.cancel()
+
+    async def _answer(self) -> None:
+        problem = await self._admit()
+        if problem is not None:
+            await self._refuse(problem)
+            return
+        await self._serve_until_gone()
+
+    async def _end_with_host(self) -> None:
+        # Left to the end of the process, the caller would get an error of
+        # the HTTP server, which says nothing of what became of its request.
+        if self._may_have_run:
+            await self._fail(errors.make_problem(errors.Kind.HOST_STOPPED))
+            return
+        # Another host takes it at once.
+        await self._refuse(errors.make_problem(errors.Kind.STOPPING, 0.0))
+
     # Admitting.
 
     async def _admit(self) -> errors.Problem | None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
@@ -39,7 +39,7 @@
         # The server reports each answer that we cut on purpose as an error.
         logging.getLogger('uvicorn.error').setLevel(logging.CRITICAL)
         # Requests of callers that are not answered yet.
-        self.open_requests = 0
+        self._open: set[exchange.Exchange] = set()
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -53,15 +53,26 @@
         if port == self._metrics_port:
             await _send_text(send, 200, self._measures.render())
             return
-        self.open_requests += 1
+        found = exchange.Exchange(self._parts, scope, receive, send)
+        self._open.add(found)
         try:
-            await exchange.Exchange(self._parts, scope, receive, send).run()
+            await found.run()
         except Exception:
             # The server closes the connection, which promises nothing.
             eliot.write_traceback()
             raise
         finally:
-            self.open_requests -= 1
+            self._open.remove(found)
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests that are not answered yet."""
+        return len(self._open)
+
+    def end_requests(self) -> None:
+        """Give up all requests, each with the answer that is true of it."""
+        for found in list(self._open):
+            found.end()
 
 
 async def _send_text(send: asgi.Send, status: int, text: str) -> None:
