--- a/tests/systems.py
+++ b/tests/systems.py
@@ -1,6 +1,7 @@
 """Base of the tests that run real processes."""
 
 import pathlib
+import socket
 import tempfile
 import typing as ty
 
@@ -60,3 +61,11 @@
 
 def make_prompt(words: int, text: str = 'word') -> str:
     return ' '.join(f'{text}{number}' for number in range(words))
+
+
+def read_all(caller: socket.socket) -> bytes:
+    """Return what comes until the connection ends."""
+    received = b''
+    while data := caller.recv(65536):
+        received += data
+    return received
--- a/tests/test_listener_end.py
+++ b/tests/test_listener_end.py
@@ -10,6 +10,7 @@
 from apricotlanding import asgi
 from apricotlanding import shutdown
 from apricotstandins import processes
+import systems
 
 # More than both sockets hold for a caller that does not read.
 BODY = b'x' * (240 * 1024)
@@ -67,7 +68,7 @@
         async def scene(server: asgi.Server, caller: socket.socket) -> None:
             self.assertFalse(await shutdown.finish(server, 0.8))
             self.assertNotEqual(0, server.count_unsent())
-            received = await anyio.to_thread.run_sync(read_all, caller)
+            received = await anyio.to_thread.run_sync(systems.read_all, caller)
             await server.wait_ended()
             self.assertTrue(received.endswith(BODY))
 
@@ -80,11 +81,3 @@
                 self.assertFalse(await shutdown.finish(server, 0.3))
 
         self.play(scene)
-
-
-def read_all(caller: socket.socket) -> bytes:
-    """Return what comes until the connection ends."""
-    received = b''
-    while data := caller.recv(65536):
-        received += data
-    return received
