Ask again whether the daemon admits once a body has come

The check stood before the body was read only.

Change: it is asked again after; what comes too late is refused as in a stop, and nothing runs. Beside it: the gateway's clients are closed from a copy of their list, for a request in progress at the end of the grace could still add one (found by reading).

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclients.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclients.py
@@ -120,7 +120,8 @@
 
     async def close(self) -> None:
         """Close all idle connections."""
-        for client in self._clients.values():
+        # A list, for a request in progress may still add a client.
+        for client in list(self._clients.values()):
             await client.close()
 
     def _let_go(self, endpoint: _Endpoint) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/requests/entry.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/entry.py
@@ -115,9 +115,9 @@
         if checked.is_error():
             return checked.error
         head = checked.ok
-        if not self.is_admitting:
-            stopping = errors.make_problem(errors.Kind.STOPPING, 0.0)
-            return _speak_for(head, stopping)
+        stopping = self._check_stopping(head)
+        if stopping is not None:
+            return stopping
         try:
             with anyio.fail_after(BODY_TIMEOUT):
                 body = await asgi.read_body(receive, head.body_limit)
@@ -127,9 +127,20 @@
             )
         except (asgi.Disconnected, TimeoutError):
             return errors.make_problem(errors.Kind.INCOMPLETE_BODY)
+        # Again: a stop may have begun to wait for open requests while the
+        # body came. This one is not among them: it would run, and be cut by
+        # the end of the process.
+        stopping = self._check_stopping(head)
+        if stopping is not None:
+            return stopping
         found = admission.check_body(config, head, body)
         return found.error if found.is_error() else found.ok
 
+    def _check_stopping(self, head: admission.Head) -> errors.Problem | None:
+        if self.is_admitting:
+            return None
+        return _speak_for(head, errors.make_problem(errors.Kind.STOPPING, 0.0))
+
     async def _serve_request(
         self,
         request: admission.Request,
