Move the store's reader into a module of its own

Cause: records.py holds the merging of records and the following of the store; the latter is about to grow decisions about waits. Change: a move alone, no behaviour. Conclusion: test_gateway_reading and test_sharing pass as before.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -51,6 +51,7 @@
 from apricotlandingd.gateway.process import stalls
 from apricotlandingd.gateway.replication import recordexchange
 from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.replication import storereader
 from apricotlandingd.gateway.requests import exchange
 from apricotlandingd.gateway.requests import habits
 from apricotlandingd.gateway.requests import listener
@@ -127,7 +128,7 @@
         self._board = records.Board()
         self._board.add_observer(self._take_record)
         self._readers = [
-            records.StoreReader(
+            storereader.StoreReader(
                 topic,
                 self._store,
                 self._board,
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -9,6 +9,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.replication import storereader
 
 
 # Seconds after the last record in which it has surely been read.
@@ -57,7 +58,7 @@
         """Write keys into a store that was empty; return calls and records."""
         store = QuietStore()
         board = records.Board()
-        reader = records.StoreReader(
+        reader = storereader.StoreReader(
             dialect.CONFIG,
             store,
             board,
