Ask the store anew when no host of a group was answered for too long

Cause: a read that waits at the store when it falls silent, or begins there while it is, is known as lost only after its wait and margin, 5 s; the bound is 2 s. A record ends the reads of all hosts at once, so the reads of all hosts wait alike and a silence of a moment swallows all of them. Ruled out: shorter waits alone (1.2 s a read would be three times the calls); a call beside the read as a sign of life (it says nothing of the read, which may be lost on its own connection, and costs a call); handing ages of answers on from peer to peer (each message's way would be lost from the age, and an answer stay young as long as it is repeated). Change: hosts tell each other how old the store's newest answer to them is. Reads after a record wait for another part of the whole each, so that their ends are spread over the hosts. When the group's newest answer is older than half the bound, hosts ask without a wait, one after the other and again until one is answered; the others hear from it. The waits are derived in replication/waits.py from configApplyMs and drainMs, which reload. Taking records from peers moves from gateway.py into replication/catchup.py.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -171,8 +171,10 @@
         Raises StoreUnavailable.
         """
 
-    async def read_from(self, topic: Topic, offset: int) -> Batch:
-        """Wait for records at or after an offset; may return none.
+    async def read_from(
+        self, topic: Topic, offset: int, wait_s: float
+    ) -> Batch:
+        """Wait so long for records at or after an offset; may return none.
 
         Raises StoreUnavailable or HistoryGone.
         """
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -49,9 +49,12 @@
 from apricotlandingd.gateway.process import measures
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import stalls
+from apricotlandingd.gateway.replication import catchup
+from apricotlandingd.gateway.replication import freshness
 from apricotlandingd.gateway.replication import recordexchange
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import storereader
+from apricotlandingd.gateway.replication import waits
 from apricotlandingd.gateway.requests import exchange
 from apricotlandingd.gateway.requests import habits
 from apricotlandingd.gateway.requests import listener
@@ -74,11 +77,6 @@
 # one group; of several, records also spread from group to group.
 READERS = 8
 GROUP_READERS = 3
-# Seconds after its last answer for which the store counts as reached. A
-# long poll of ``READ_WAIT`` and its margin lie between two answers.
-STORE_REACHED = 6.0
-# Seconds that a peer's news may take by the store itself before it is asked.
-CATCH_UP_PATIENCE = 0.05
 # Seconds between looks at the settings file.
 SETTINGS_INTERVAL = 1.0
 # Seconds between tries to state this host and read the others.
@@ -112,7 +110,6 @@
         self._catalogue: catalogue.Catalogue | None = None
         self._is_stopping = False
         self._stop_asked = anyio.Event()
-        self._peer_ahead = anyio.Event()
         self._pumped_at = 0.0
         self._clients = runnerclients.RunnerClients()
         self._peer_socket = asgi.bind_address(config.peers)
@@ -127,18 +124,30 @@
         self._directory = directory.Directory(config.bounds.drain_s)
         self._board = records.Board()
         self._board.add_observer(self._take_record)
+        self._freshness = freshness.Freshness(
+            self._board, _find_bounds(config.bounds)
+        )
+        probing = anyio.Lock()
         self._readers = [
             storereader.StoreReader(
                 topic,
                 self._store,
                 self._board,
-                self._may_read,
+                self._freshness,
+                self._find_readers,
                 self._directory.note_outage,
+                lambda: self._mesh.tell(),
+                probing,
                 self._spread,
             )
             for topic in records.TOPICS
         ]
         self._exchange = recordexchange.RecordExchange(self._board)
+        self._catch_up = catchup.CatchUp(
+            self._exchange,
+            self._list_ahead,
+            self._spread,
+        )
         state_port = config.state.port
         self._mesh = mesh.Mesh(
             config.host,
@@ -227,7 +236,7 @@
                 tree.start(topic, reader.run)
             tree.start('mesh', self._mesh.run)
             tree.start('records', lambda: peers.serve(self._exchange.serve))
-            tree.start('catch-up', self._catch_up_forever)
+            tree.start('catch-up', self._catch_up.run)
             tree.start('join', self._join)
             tree.start('pump', self._pump_forever)
             tree.start('tidy', self._tidy_forever)
@@ -331,42 +340,34 @@
         for start, count in self._clients.end_earlier(later).items():
             self._scheduler.places.hand_over(start, later, count)
 
-    def _may_read(self) -> bool:
+    def _find_readers(self) -> freshness.Readers:
         # The first few hosts by name that say that they reach the store, and
         # those that hear too few of these.
-        before = [
-            peer
-            for peer in self._mesh.list_near()
-            if peer.state.reads_store and peer.state.host < self._settings.host
+        own = self._settings.host
+        heard = [
+            peer for peer in self._mesh.list_heard() if peer.state.reads_store
         ]
+        before = sum(peer.is_near and peer.state.host < own for peer in heard)
         is_divided = self._mesh.partition.count > 1
-        return len(before) < (GROUP_READERS if is_divided else READERS)
+        return freshness.Readers(
+            others=tuple(peer.state.host for peer in heard),
+            own=own,
+            is_reading=before < (GROUP_READERS if is_divided else READERS),
+        )
 
     def _reads_store(self, now: float) -> bool:
         return all(
             reader.heard_at is not None
-            and now - reader.heard_at < STORE_REACHED
+            and now - reader.heard_at < waits.STORE_REACHED
             for reader in self._readers
         )
 
-    async def _catch_up_forever(self) -> None:
-        while True:
-            await self._peer_ahead.wait()
-            await anyio.sleep(CATCH_UP_PATIENCE)
-            self._peer_ahead = anyio.Event()
-            ahead = [
-                peer
-                for peer in self._mesh.list_heard()
-                if records.is_ahead(
-                    peer.state.positions, self._board.positions
-                )
-            ]
-            if not ahead:
-                continue
-            chosen = self._spread.choice(ahead)
-            await self._exchange.fetch(
-                addresses.parse_address(chosen.state.peers_address)
-            )
+    def _list_ahead(self) -> list[addresses.Address]:
+        return [
+            addresses.parse_address(peer.state.peers_address)
+            for peer in self._mesh.list_heard()
+            if records.is_ahead(peer.state.positions, self._board.positions)
+        ]
 
     async def _join(self) -> None:
         config = self._settings
@@ -421,8 +422,14 @@
             asked=asked,
             group_asked=group_asked,
             spare=spare,
+            answer_ages=self._list_ages(scope, now),
         )
 
+    def _list_ages(self, scope: mesh.Scope, now: float) -> list[int]:
+        if scope is mesh.Scope.FAR:
+            return self._freshness.list_group_ages(now)
+        return self._freshness.list_own_ages(now, scope is mesh.Scope.WHOLE)
+
     def _list_ranks(self, now: float) -> dict[ids.Pool, list[waiting.Rank]]:
         return {
             service: [rank.shift(-now) for rank in items[: mesh.RANKS]]
@@ -450,18 +457,25 @@
     def _take_state(self, state: messages.HostState, now: float) -> None:
         if self._mesh.partition.is_near(state.host):
             self._quotas.hear(state.incarnation, state.usage, now)
+            self._freshness.hear(
+                state.host, state.answer_ages, state.positions, now
+            )
         else:
+            self._freshness.hear_far(
+                state.host, state.answer_ages, state.positions, now
+            )
             self._quotas.skip(state.incarnation, state.usage)
             group = self._mesh.partition.find_group(state.host)
             self._group_uses.hear(group, state.group_asked)
             self._scheduler.spares.hear(group, state.spare, now)
         if records.is_ahead(state.positions, self._board.positions):
-            self._peer_ahead.set()
+            self._catch_up.note_ahead()
         if now - self._pumped_at >= PEER_PUMP_INTERVAL:
             self._pump(now)
 
     def _forget_peer(self, state: messages.HostState) -> None:
         self._quotas.forget(state.incarnation)
+        self._freshness.forget(state.host)
 
     # Runners.
 
@@ -533,6 +547,7 @@
             )
         bounds = found.bounds
         self._directory.set_drain_time(bounds.drain_s)
+        self._freshness.set_bounds(_find_bounds(bounds))
         self._quotas.set_slack(bounds.quota_slack)
         self._second_sends.set_bounds(
             bounds.resend_share, bounds.resend_slack, bounds.resend_window_s
@@ -566,3 +581,8 @@
             connections=self._server.count_connections(),
             unsent_bytes=self._server.count_unsent(),
         )
+
+
+def _find_bounds(bounds: settings.Bounds) -> dict[dialect.Topic, float]:
+    # How long each topic's changes may take until this host goes by them.
+    return {dialect.CONFIG: bounds.apply_s, dialect.RUNNERS: bounds.drain_s}
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
@@ -22,6 +22,8 @@
     stop_grace_s: float
     # Seconds after which a leaving runner gets nothing more.
     drain_s: float
+    # Seconds after which a configuration is in force on every host.
+    apply_s: float
     # Second sends to a service that are free of charge in a window, of all
     # hosts together; further ones are a share of the requests.
     resend_share: float
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/freshness.py
@@ -0,0 +1,218 @@
+"""How old the newest answer of the store is, as a group of hosts knows it.
+
+An answer, with records or without, proves that its host knows all that the
+store had at that moment. Hosts tell each other the age of their newest answer
+to each topic. A host that has the records of the one that tells may go by
+that answer as by one of its own; one that lacks them may not, and fetches
+them first (``catchup``).
+
+Ages are only taken from the host that got the answer. Were they handed on,
+the time that each message takes would be lost each time, and an answer would
+stay young for as long as hosts repeat it to each other.
+"""
+
+import dataclasses
+import typing as ty
+
+from apricotlanding import ids
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.replication import waits
+
+__all__ = ['Freshness', 'Readers']
+
+# Largest age in a message, in seconds. Older answers say nothing.
+LONGEST_AGE = 60.0
+MS = 1000
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Readers:
+    """The hosts that follow the store, as one of them sees it."""
+
+    # Without this host.
+    others: tuple[ids.Host, ...]
+    own: ids.Host
+    # This host is one of them; the rest hear from them.
+    is_reading: bool
+
+    @property
+    def count(self) -> int:
+        """Return how many there are if this host reads."""
+        return len(self.others) + 1
+
+    @property
+    def place(self) -> int:
+        """Return this host's place among them, by name."""
+        return sum(host < self.own for host in self.others)
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    # When the store answered, on this host's clock.
+    at: float
+    # Next offset that the host knew by it.
+    position: int
+
+
+@ty.final
+class Freshness:
+    """The newest answer to each topic: this host's and its peers'."""
+
+    def __init__(
+        self, board: records.Board, bounds: dict[dialect.Topic, float]
+    ) -> None:
+        """Start without any answer.
+
+        ``bounds`` are the seconds after which a change must be known.
+        """
+        self._board = board
+        self.waits: dict[dialect.Topic, waits.Waits] = {}
+        self.set_bounds(bounds)
+        self._own: dict[dialect.Topic, float] = {}
+        self._is_told = True
+        # Answers of near peers, and the newest one of far peers.
+        self._near: dict[ids.Host, dict[dialect.Topic, _Answer]] = {}
+        self._far: dict[dialect.Topic, _Answer] = {}
+
+    def set_bounds(self, bounds: dict[dialect.Topic, float]) -> None:
+        """Take the operators' bounds."""
+        self.waits = {
+            topic: waits.derive_waits(bound) for topic, bound in bounds.items()
+        }
+
+    def note_answer(self, topic: dialect.Topic, at: float) -> None:
+        """Take an answer of the store to this host."""
+        self._own[topic] = max(at, self._own.get(topic, at))
+        self._is_told = False
+
+    def hear(
+        self,
+        host: ids.Host,
+        ages_ms: list[int],
+        positions: list[int],
+        now: float,
+    ) -> None:
+        """Take what a near peer tells, in the order of the topics."""
+        if not ages_ms:
+            return
+        self._near[host] = _make_answers(ages_ms, positions, now)
+
+    def hear_far(
+        self,
+        host: ids.Host,
+        ages_ms: list[int],
+        positions: list[int],
+        now: float,
+    ) -> None:
+        """Take what a far peer tells of its group."""
+        # It may have been near before.
+        self.forget(host)
+        for topic, answer in _make_answers(ages_ms, positions, now).items():
+            if answer.position > self._board.positions[topic]:
+                continue
+            known = self._far.get(topic)
+            if known is None or answer.at > known.at:
+                self._far[topic] = answer
+
+    def forget(self, host: ids.Host) -> None:
+        """Drop what a peer told."""
+        self._near.pop(host, None)
+
+    def list_own_ages(self, now: float, is_whole: bool) -> list[int]:
+        """Return the ages of this host's answers, for near peers.
+
+        Between whole messages only new ones are told: peers get up to fifty
+        messages a second from each host, and few of them follow an answer.
+        """
+        if self._is_told and not is_whole:
+            return []
+        self._is_told = True
+        return [
+            _round_age(self._own.get(topic), now) for topic in records.TOPICS
+        ]
+
+    def list_group_ages(self, now: float) -> list[int]:
+        """Return the ages of the group's newest answers, for far peers.
+
+        They do not hand them on, so nothing goes round; see the module.
+        """
+        return [
+            _round_age(self._find_group(topic), now)
+            for topic in records.TOPICS
+        ]
+
+    def find_due(
+        self, topic: dialect.Topic, now: float, readers: Readers
+    ) -> float:
+        """Return when it is this host's turn to ask the store anew.
+
+        The host whose own answer is the oldest goes first: after asking, its
+        reads end at another time than those of the others.
+        """
+        newest = self._find_newest(topic)
+        if newest is None:
+            return now
+        limits = self.waits[topic]
+        due = newest + limits.answer_age_s
+        if now < due:
+            return due
+        return due + self._count_before(topic, readers) * limits.turn_s
+
+    def _find_newest(self, topic: dialect.Topic) -> float | None:
+        newest = self._find_group(topic)
+        far = self._far.get(topic)
+        if far is None or (newest is not None and newest > far.at):
+            return newest
+        return far.at
+
+    def _find_group(self, topic: dialect.Topic) -> float | None:
+        known = self._board.positions[topic]
+        newest = self._own.get(topic)
+        for answers in self._near.values():
+            answer = answers.get(topic)
+            if answer is None or answer.position > known:
+                continue
+            if newest is None or answer.at > newest:
+                newest = answer.at
+        return newest
+
+    def _count_before(self, topic: dialect.Topic, readers: Readers) -> int:
+        if not readers.is_reading:
+            # Those that read go first, whatever this host was answered once.
+            return readers.count + sum(
+                host < readers.own for host in self._near
+            )
+        own = self._own.get(topic, 0.0)
+        turn = self.waits[topic].turn_s
+        count = 0
+        for host in readers.others:
+            answer = self._near.get(host, {}).get(topic)
+            if answer is None:
+                continue
+            # Answers of the same moment are told apart by name: messages
+            # take a few milliseconds, which differ.
+            is_older = answer.at < own - turn
+            is_same = abs(answer.at - own) <= turn
+            if is_older or (is_same and host < readers.own):
+                count += 1
+        return count
+
+
+def _make_answers(
+    ages_ms: list[int], positions: list[int], now: float
+) -> dict[dialect.Topic, _Answer]:
+    return {
+        topic: _Answer(now - age_ms / MS, position)
+        for topic, age_ms, position in zip(
+            records.TOPICS, ages_ms, positions, strict=False
+        )
+    }
+
+
+def _round_age(at: float | None, now: float) -> int:
+    # Whole milliseconds take three bytes in a message, seconds nine.
+    age = LONGEST_AGE if at is None else min(LONGEST_AGE, now - at)
+    return max(0, round(age * MS))
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -1,4 +1,12 @@
-"""Following one topic at the platform's store, by a long poll."""
+"""Following one topic at the platform's store.
+
+Reads wait at the store until a record comes (a long poll). What shows that
+such a read is lost, and what is done then, is told in ``waits``: when no host
+of the group was answered for too long, this host in its turn gives up its
+read and asks without a wait (a probe), again and again, until the store
+answers it or a peer. Probes overlap: one that was swallowed does not keep the
+next one waiting, and a slow store has time to answer each of them.
+"""
 
 import collections.abc
 import random
@@ -9,13 +17,19 @@
 
 from apricotlanding import clocks
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.replication import freshness
 from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.replication import waits
 
 __all__ = ['StoreReader']
 
 # Seconds before the next try after a failed read, and their limit.
 FIRST_RETRY = 0.1
 LAST_RETRY = 1.0
+# Seconds between looks of a host that does not read whether it is to.
+IDLE_LOOK = 0.1
+# Least seconds between looks whether the store must be asked anew.
+DUE_LOOK = 0.02
 # Seconds between two reads of which the first brought records. Records come in
 # series (a storm of versions, a release of runners): in this time one call
 # gathers several, and it is short against the bounds for both topics, 2 s and
@@ -32,67 +46,154 @@
         topic: dialect.Topic,
         store: dialect.Store,
         board: records.Board,
-        may_read: collections.abc.Callable[[], bool],
+        fresh: freshness.Freshness,
+        find_readers: collections.abc.Callable[[], freshness.Readers],
         on_outage: collections.abc.Callable[[float], None],
+        on_answer: collections.abc.Callable[[], None],
+        probing: anyio.Lock,
         spread: random.Random,
     ) -> None:
-        """Prepare; ``may_read`` says whether this host reads the store."""
+        """Prepare; ``on_answer`` is called when the store has answered.
+
+        The topics of one host share ``probing``.
+        """
         self._topic = topic
         self._store = store
         self._board = board
-        self._may_read = may_read
+        self._fresh = fresh
+        self._find_readers = find_readers
         self._on_outage = on_outage
+        self._on_answer = on_answer
+        self._probing = probing
         self._spread = spread
         # When the store answered last; None before the first answer.
         self.heard_at: float | None = None
         self._is_lost = False
+        # The store has no record of the topic.
+        self._is_empty = False
+        # The last answer had records, and ended the reads of other hosts too.
+        self._had_records = False
+        self._retry_s = FIRST_RETRY
 
     async def run(self) -> None:
         """Read for as long as the daemon runs."""
-        delay = FIRST_RETRY
         while True:
-            if not self._may_read():
-                await anyio.sleep(FIRST_RETRY)
-                continue
-            try:
-                await self._read()
-            except dialect.StoreUnavailable as error:
-                now = clocks.read_monotonic()
-                self._note_lost(str(error), now)
-                await anyio.sleep(delay * self._spread.uniform(0.7, 1.3))
-                delay = min(LAST_RETRY, delay * 2)
-                continue
-            delay = FIRST_RETRY
-            self._note_heard(clocks.read_monotonic())
-
-    async def _read(self) -> None:
+            readers = self._find_readers()
+            if self._is_due(readers):
+                await self._probe()
+            elif readers.is_reading:
+                await self._follow(readers)
+            else:
+                await anyio.sleep(IDLE_LOOK)
+
+    # Waiting for records.
+
+    async def _follow(self, readers: freshness.Readers) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch_due, group.cancel_scope)
+            await self._read_on(self._find_wait(readers))
+            group.cancel_scope.cancel()
+
+    async def _read_on(self, wait_s: float) -> None:
+        try:
+            await self._read(wait_s)
+        except dialect.StoreUnavailable as error:
+            self._note_lost(str(error), clocks.read_monotonic())
+            await anyio.sleep(self._retry_s * self._spread.uniform(0.7, 1.3))
+            self._retry_s = min(LAST_RETRY, self._retry_s * 2)
+            return
+        self._note_heard(clocks.read_monotonic())
+        if self._had_records:
+            await anyio.sleep(BATCH_PAUSE)
+
+    def _find_wait(self, readers: freshness.Readers) -> float:
+        limits = self._fresh.waits[self._topic]
+        if self._had_records:
+            return waits.find_first_wait(limits, readers.place, readers.count)
+        return waits.find_read_wait(limits, readers.count)
+
+    async def _watch_due(self, scope: anyio.CancelScope) -> None:
+        while True:
+            now = clocks.read_monotonic()
+            due = self._fresh.find_due(self._topic, now, self._find_readers())
+            if due <= now:
+                scope.cancel()
+                return
+            await anyio.sleep(max(DUE_LOOK, due - now))
+
+    # Asking anew.
+
+    def _is_due(self, readers: freshness.Readers) -> bool:
+        now = clocks.read_monotonic()
+        return self._fresh.find_due(self._topic, now, readers) <= now
+
+    async def _probe(self) -> None:
+        async with anyio.create_task_group() as group:
+            readers = self._find_readers()
+            while self._is_due(readers):
+                # A store that is out answers on no topic: they take turns,
+                # with half the calls, and the second one follows at once
+                # when the first is answered.
+                async with self._probing:
+                    group.start_soon(self._ask, group.cancel_scope)
+                    await anyio.sleep(self._find_gap(readers))
+                readers = self._find_readers()
+            # The store answered a peer.
+            group.cancel_scope.cancel()
+        if self._is_lost:
+            # Registrations that lapsed in the outage come back from now on.
+            self._on_outage(clocks.read_monotonic())
+
+    def _find_gap(self, readers: freshness.Readers) -> float:
+        limits = self._fresh.waits[self._topic]
+        gap = waits.find_probe_gap(limits, readers.count)
+        return gap * self._spread.uniform(0.8, 1.2)
+
+    async def _ask(self, scope: anyio.CancelScope) -> None:
+        try:
+            await self._read(0.0)
+        except dialect.StoreUnavailable as error:
+            self._note_lost(str(error), clocks.read_monotonic())
+            return
+        self._note_heard(clocks.read_monotonic())
+        scope.cancel()
+
+    # One read.
+
+    async def _read(self, wait_s: float) -> None:
         position = self._board.positions[self._topic]
-        if position == 0:
+        if position == 0 and not self._is_empty:
             await self._read_whole()
             return
+        begun_at = clocks.read_monotonic()
         try:
-            batch = await self._store.read_from(self._topic, position)
+            batch = await self._store.read_from(self._topic, position, wait_s)
         except dialect.HistoryGone:
             eliot.log_message(
                 'gateway:history_gone', topic=self._topic, offset=position
             )
             await self._read_whole()
             return
-        await self._take(batch)
+        self._had_records = bool(batch.records)
+        self._board.apply(self._topic, batch, is_whole=False)
+        answered_at = clocks.read_monotonic()
+        if not batch.records:
+            # The answer may have been under way for a while.
+            answered_at = min(answered_at, begun_at + wait_s)
+        self._fresh.note_answer(self._topic, answered_at)
 
     async def _read_whole(self) -> None:
+        begun_at = clocks.read_monotonic()
         batch = await self._store.read_newest(self._topic)
+        self._had_records = bool(batch.records)
         self._board.apply(self._topic, batch, is_whole=True)
-        if batch.next_offset == 0:
-            # Nothing was ever written: wait for the first record. Hosts that
-            # asked ten times a second made nearly a third of a quiet day's
-            # calls.
-            await self._take(await self._store.read_from(self._topic, 0))
+        # A topic without any record is waited on from its start. Hosts that
+        # asked for all of it ten times a second made nearly a third of a
+        # quiet day's calls.
+        self._is_empty = batch.next_offset == 0
+        self._fresh.note_answer(self._topic, begun_at)
 
-    async def _take(self, batch: dialect.Batch) -> None:
-        self._board.apply(self._topic, batch, is_whole=False)
-        if batch.records:
-            await anyio.sleep(BATCH_PAUSE)
+    # Outages.
 
     def _note_lost(self, detail: str, now: float) -> None:
         self._on_outage(now)
@@ -105,6 +206,8 @@
 
     def _note_heard(self, now: float) -> None:
         self.heard_at = now
+        self._on_answer()
+        self._retry_s = FIRST_RETRY
         if not self._is_lost:
             return
         self._is_lost = False
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/waits.py
@@ -0,0 +1,106 @@
+"""How long hosts wait for the store, derived from the bounds of the settings.
+
+A change that the store took has to be known on every host within a bound. A
+read that waits at the store brings it at once, unless the read is lost: the
+store fell silent, or the connection did, and nothing shows it before the
+whole wait is over. One host could only guard against that with waits shorter
+than the bound, and would make four times as many calls.
+
+Hosts share the work instead. Each tells its peers how long ago the store last
+answered it, so a group knows how old its newest answer is. Reads of a group
+are spread so that one of them ends every moment (``find_first_wait``), and an
+answer that is missed shows soon on every host. When the newest answer is
+older than ``Waits.answer_age_s``, one host after the other asks the store
+anew (``freshness``), and the others hear what is new from the host that got
+an answer.
+"""
+
+import dataclasses
+import typing as ty
+
+__all__ = [
+    'LONGEST_READ_WAIT',
+    'STORE_REACHED',
+    'Waits',
+    'derive_waits',
+    'find_first_wait',
+    'find_probe_gap',
+    'find_read_wait',
+]
+
+# Seconds that a read waits at the store at most. Answers of seven hosts are
+# then 0.7 s apart, and each host makes 0.4 calls a second for two topics.
+LONGEST_READ_WAIT = 5.0
+# Seconds after its last answer for which the store counts as reached by a
+# host: the longest wait, and a second each for the answer and for a host
+# that is slow.
+STORE_REACHED = LONGEST_READ_WAIT + 2.0
+# Parts of a bound. Half of it may pass until the group knows that reads are
+# lost. Of the rest, a turn or two go to hosts that do not ask because they
+# have just died; what is left is for machines that are slow.
+ANSWER_AGE_PART = 0.5
+# Time that a host leaves to the one whose turn to ask is before its own: an
+# answer takes milliseconds, and peers hear of it within 20 ms.
+TURN_PART = 0.05
+# Time between two probes of one host: each host of a group adds a turn, and
+# two bounds hold for very few and very many hosts.
+LEAST_GAP_PART = 0.25
+MOST_GAP_PART = 0.5
+# Part of ``answer_age_s`` in which an answer is due while all is well, so
+# that nobody asks for lack of one.
+SPACING_PART = 0.75
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waits:
+    """What follows from one bound; all in seconds."""
+
+    # Age of the group's newest answer from which on it asks anew.
+    answer_age_s: float
+    # How much later each next host asks.
+    turn_s: float
+    # Least and most time between two probes of one host.
+    least_gap_s: float
+    most_gap_s: float
+
+
+def derive_waits(bound_s: float) -> Waits:
+    """Return what keeps a bound on the time until a change is known."""
+    return Waits(
+        answer_age_s=bound_s * ANSWER_AGE_PART,
+        turn_s=bound_s * TURN_PART,
+        least_gap_s=bound_s * LEAST_GAP_PART,
+        most_gap_s=bound_s * MOST_GAP_PART,
+    )
+
+
+def find_read_wait(waits: Waits, readers: int) -> float:
+    """Return how long a read waits for records, in seconds.
+
+    With few readers it is so short that their answers, evenly spread, still
+    come in time.
+    """
+    spacing = waits.answer_age_s * SPACING_PART
+    return min(LONGEST_READ_WAIT, spacing * readers)
+
+
+def find_first_wait(waits: Waits, place: int, readers: int) -> float:
+    """Return how long the first read after new records waits.
+
+    A record ends the reads of all hosts at the same moment. If the next ones
+    began and ended together, a silence of a moment would swallow all of them.
+    So each host starts with another part of the whole wait, by its place
+    among the readers, and their reads end one after the other from then on.
+    """
+    return find_read_wait(waits, readers) * (place + 1) / readers
+
+
+def find_probe_gap(waits: Waits, readers: int) -> float:
+    """Return the time between two probes of one host, in seconds.
+
+    More hosts ask more rarely, so that a store that comes back meets as many
+    calls of few hosts as of many.
+    """
+    gap = waits.turn_s * readers
+    return max(waits.least_gap_s, min(waits.most_gap_s, gap))
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -8,12 +8,15 @@
 from apricotlanding import addresses
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.replication import freshness
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import storereader
 
 
 # Seconds after the last record in which it has surely been read.
 SETTLE_S = 0.5
+# Bound on the time until a change is known.
+BOUND_S = 2.0
 
 
 class QuietStore:
@@ -35,7 +38,7 @@
         return dialect.Batch(tuple(self.records), len(self.records))
 
     async def read_from(
-        self, topic: dialect.Topic, offset: int
+        self, topic: dialect.Topic, offset: int, wait_s: float
     ) -> dialect.Batch:
         self.calls += 1
         while offset >= len(self.records):
@@ -62,8 +65,11 @@
             dialect.CONFIG,
             store,
             board,
-            lambda: True,
+            freshness.Freshness(board, {dialect.CONFIG: BOUND_S}),
+            lambda: freshness.Readers((), ids.Host('host-a'), True),
             lambda now: None,
+            lambda: None,
+            anyio.Lock(),
             random.Random(1),
         )
 
