Play a peer that is ahead and does not answer; seen failing

Cause: a host that the store turns away asks one peer at a time and waits 1.5 s for it; of two peers the frozen one may be chosen again and again. Ruled out: that the peer is known to be silent by then: that takes 0.7 s without its messages, and it spoke just before.

--- /dev/null
+++ b/tests/test_gateway_catchup.py
@@ -0,0 +1,98 @@
+"""Taking records from peers, some of which do not answer."""
+
+import collections.abc
+import random
+
+import anyio
+import anyio.abc
+import testtools
+
+from apricotlanding import addresses
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.replication import catchup
+from apricotlandingd.gateway.replication import recordexchange
+from apricotlandingd.gateway.replication import records
+
+# Seconds in which a configuration must be in force, and what may pass until
+# the records are here: the peer's message came before, and time is left for
+# machines that are slower.
+BOUND_S = 1.0
+PART = 0.75
+SEED = 1
+PATIENCE_S = 5.0
+
+
+async def never_answer(stream: anyio.abc.SocketStream) -> None:
+    """Keep a connection and say nothing, as a frozen host does."""
+    async with stream:
+        await anyio.sleep_forever()
+
+
+async def listen() -> tuple[
+    anyio.abc.Listener[anyio.abc.SocketStream], addresses.Address
+]:
+    """Return a listener on loopback and its address."""
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    return listener, addresses.Address('127.0.0.1', port)
+
+
+class TestPeerThatDoesNotAnswer(testtools.TestCase):
+    """Requests are handled by the version before, on one host only.
+
+    The store turns this host away. Two peers said that they know more, and
+    one of them froze right after: it is asked first, and the other one only
+    when the first is given up, which took longer than the bound.
+    """
+
+    def test_other_peer_is_asked_within_the_bound(self) -> None:
+        anyio.run(self.play)
+
+    async def play(self) -> None:
+        known = records.Board()
+        record = dialect.Record('config', 0, b'value')
+        known.apply(dialect.CONFIG, dialect.Batch((record,), 1), True)
+        lacking = records.Board()
+        frozen, frozen_at = await listen()
+        sound, sound_at = await listen()
+        # Puts the frozen one where the first choice falls.
+        ahead = [sound_at, sound_at]
+        ahead[random.Random(SEED).choice((0, 1))] = frozen_at
+
+        def list_ahead() -> list[addresses.Address]:
+            if lacking.positions[dialect.CONFIG]:
+                return []
+            return ahead
+
+        found = self.make_catch_up(lacking, list_ahead)
+        with anyio.fail_after(PATIENCE_S):
+            async with anyio.create_task_group() as group:
+                group.start_soon(frozen.serve, never_answer)
+                exchange = recordexchange.RecordExchange(known)
+                group.start_soon(sound.serve, exchange.serve)
+                group.start_soon(found.run)
+                started_at = anyio.current_time()
+                arrived = lacking.changed
+                found.note_ahead()
+                # Peers tell their positions four times a second.
+                group.start_soon(self.tell_again, found)
+                await arrived.wait()
+                took = anyio.current_time() - started_at
+                group.cancel_scope.cancel()
+        self.assertLess(took, BOUND_S * PART)
+
+    async def tell_again(self, found: catchup.CatchUp) -> None:
+        while True:
+            await anyio.sleep(0.25)
+            found.note_ahead()
+
+    def make_catch_up(
+        self,
+        board: records.Board,
+        list_ahead: collections.abc.Callable[[], list[addresses.Address]],
+    ) -> catchup.CatchUp:
+        return catchup.CatchUp(
+            recordexchange.RecordExchange(board),
+            list_ahead,
+            random.Random(SEED),
+        )
