Give up a peer that does not answer within a part of the bound

Cause: see the test: 1.5 s for one peer that froze or died just after it spoke, against a bound of 2 s, or 1 s. Ruled out: asking all peers that are ahead at once: a configuration of some 100 KB would come from each of them to each host. Change: the time for a peer's answer is a fifth of the shortest bound and doubles with each failure up to 1.5 s, for slow links; a peer that failed is asked last until one has answered.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -146,6 +146,7 @@
         self._catch_up = catchup.CatchUp(
             self._exchange,
             self._list_ahead,
+            self._find_fetch_time,
             self._spread,
         )
         state_port = config.state.port
@@ -369,6 +370,9 @@
             if records.is_ahead(peer.state.positions, self._board.positions)
         ]
 
+    def _find_fetch_time(self) -> float:
+        return min(item.fetch_s for item in self._freshness.waits.values())
+
     async def _join(self) -> None:
         config = self._settings
         while True:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/catchup.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/catchup.py
@@ -2,7 +2,8 @@
 
 A peer's message shows that it knows records that this host does not. The
 store itself brings them at the same moment if it serves this host; if they do
-not come, the host asks a peer.
+not come, the host asks a peer. A peer may have died since: it is given up
+after a part of the bound on changes, and another one is asked first.
 """
 
 import collections.abc
@@ -28,13 +29,21 @@
         self,
         exchange: recordexchange.RecordExchange,
         list_ahead: collections.abc.Callable[[], list[addresses.Address]],
+        find_timeout: collections.abc.Callable[[], float],
         spread: random.Random,
     ) -> None:
-        """Prepare; ``list_ahead`` says where peers hand on records."""
+        """Prepare.
+
+        ``list_ahead`` says where peers that know more hand on records;
+        ``find_timeout`` how long one of them may take, in seconds.
+        """
         self._exchange = exchange
         self._list_ahead = list_ahead
+        self._find_timeout = find_timeout
         self._spread = spread
         self._is_ahead = anyio.Event()
+        # Peers that did not answer since one did.
+        self._failed: set[addresses.Address] = set()
 
     def note_ahead(self) -> None:
         """Say that a peer is ahead."""
@@ -49,4 +58,21 @@
             ahead = self._list_ahead()
             if not ahead:
                 continue
-            await self._exchange.fetch(self._spread.choice(ahead))
+            await self._fetch(self.choose(ahead))
+
+    def choose(self, ahead: list[addresses.Address]) -> addresses.Address:
+        """Return a peer, if possible one that did not fail just now."""
+        sound = [peer for peer in ahead if peer not in self._failed]
+        return self._spread.choice(sound or ahead)
+
+    async def _fetch(self, peer: addresses.Address) -> None:
+        # Failures in a row make the time longer: a page of records may be
+        # large, and the links slow.
+        timeout = self._find_timeout() * 2 ** min(len(self._failed), 4)
+        timeout = min(recordexchange.TIMEOUT, timeout)
+        if await self._exchange.fetch(peer, timeout):
+            self._failed.clear()
+            return
+        self._failed.add(peer)
+        # Nobody may speak again before all of them are asked once.
+        self._is_ahead.set()
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
@@ -19,10 +19,10 @@
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.replication import records
 
-__all__ = ['RecordExchange']
+__all__ = ['TIMEOUT', 'RecordExchange']
 
-# Seconds for a question and its reply; a configuration of several hundred
-# routes is some 100 KB.
+# Longest time for a question and its reply, in seconds; a configuration of
+# several hundred routes is some 100 KB.
 TIMEOUT = 1.5
 # Largest frame between hosts of one system, in bytes.
 FRAME_LIMIT = 4 * 1024 * 1024
@@ -50,10 +50,10 @@
         finally:
             await link.close()
 
-    async def fetch(self, address: addresses.Address) -> bool:
-        """Take what a peer knows; False if it does not answer."""
+    async def fetch(self, address: addresses.Address, timeout: float) -> bool:
+        """Take what a peer knows; False if it does not answer in time."""
         try:
-            with anyio.fail_after(TIMEOUT):
+            with anyio.fail_after(timeout):
                 page = await self._ask(address)
         except (*frames.CONNECTION_ERRORS, errors.Refused) as error:
             eliot.log_message(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/waits.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/waits.py
@@ -37,11 +37,15 @@
 STORE_REACHED = LONGEST_READ_WAIT + 2.0
 # Parts of a bound. Half of it may pass until the group knows that reads are
 # lost. Of the rest, a turn or two go to hosts that do not ask because they
-# have just died; what is left is for machines that are slow.
+# have just died, one fetch to a peer that has, and a quarter is left for
+# machines that are slow.
 ANSWER_AGE_PART = 0.5
 # Time that a host leaves to the one whose turn to ask is before its own: an
 # answer takes milliseconds, and peers hear of it within 20 ms.
 TURN_PART = 0.05
+# A peer that is ahead and does not answer is given up after this time, for
+# another one: it died or froze just after it spoke.
+FETCH_PART = 0.2
 # Time between two probes of one host: each host of a group adds a turn, and
 # two bounds hold for very few and very many hosts.
 LEAST_GAP_PART = 0.25
@@ -60,6 +64,8 @@
     answer_age_s: float
     # How much later each next host asks.
     turn_s: float
+    # How long a peer may take to hand on what it knows.
+    fetch_s: float
     # Least and most time between two probes of one host.
     least_gap_s: float
     most_gap_s: float
@@ -70,6 +76,7 @@
     return Waits(
         answer_age_s=bound_s * ANSWER_AGE_PART,
         turn_s=bound_s * TURN_PART,
+        fetch_s=bound_s * FETCH_PART,
         least_gap_s=bound_s * LEAST_GAP_PART,
         most_gap_s=bound_s * MOST_GAP_PART,
     )
--- a/tests/test_gateway_catchup.py
+++ b/tests/test_gateway_catchup.py
@@ -12,6 +12,7 @@
 from apricotlandingd.gateway.replication import catchup
 from apricotlandingd.gateway.replication import recordexchange
 from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.replication import waits
 
 # Seconds in which a configuration must be in force, and what may pass until
 # the records are here: the peer's message came before, and time is left for
@@ -94,5 +95,6 @@
         return catchup.CatchUp(
             recordexchange.RecordExchange(board),
             list_ahead,
+            lambda: waits.derive_waits(BOUND_S).fetch_s,
             random.Random(SEED),
         )
