--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -79,6 +79,7 @@
         self._places: dict[ids.Runner, _Place] = {}
         self._gone: dict[ids.Runner, _Gone] = {}
         self._outage_at: float | None = None
+        self._return_at: float | None = None
         # Counts the changes, for those who keep what they derive from it.
         self.changes = 0
 
@@ -90,6 +91,11 @@
         """Say that the store was not reached just now."""
         self._outage_at = now
 
+    def note_return(self, now: float) -> None:
+        """Say that the store serves again, after it served no host."""
+        self.note_outage(now)
+        self._return_at = now
+
     def update(self, entry: dialect.RunnerEntry) -> News:
         """Take a registration or its change.
 
