Wait for registrations as long as the store's return allows

Ruled out: waiting that long always: a host that alone was turned away would send to a runner that left (a test holds that). Change: after an outage in which no host of the group was served, lapsed runners are kept until 2.2 s after the store's return.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -136,6 +136,7 @@
                 self._freshness,
                 self._find_readers,
                 self._directory.note_outage,
+                self._directory.note_return,
                 lambda: self._mesh.tell(),
                 probing,
                 self._spread,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -49,13 +49,17 @@
         fresh: freshness.Freshness,
         find_readers: collections.abc.Callable[[], freshness.Readers],
         on_outage: collections.abc.Callable[[float], None],
+        on_return: collections.abc.Callable[[float], None],
         on_answer: collections.abc.Callable[[], None],
         probing: anyio.Lock,
         spread: random.Random,
     ) -> None:
-        """Prepare; ``on_answer`` is called when the store has answered.
+        """Prepare.
 
-        The topics of one host share ``probing``.
+        ``on_outage`` is called when the store does not serve this host, and
+        when it does again; ``on_return`` when it had served no host;
+        ``on_answer`` when it has answered. The topics of one host share
+        ``probing``.
         """
         self._topic = topic
         self._store = store
@@ -63,12 +67,15 @@
         self._fresh = fresh
         self._find_readers = find_readers
         self._on_outage = on_outage
+        self._on_return = on_return
         self._on_answer = on_answer
         self._probing = probing
         self._spread = spread
         # When the store answered last; None before the first answer.
         self.heard_at: float | None = None
         self._is_lost = False
+        # A probe failed: the store serves no host of the group.
+        self._is_out = False
         # The store has no record of the topic.
         self._is_empty = False
         # The last answer had records, and ended the reads of other hosts too.
@@ -128,6 +135,7 @@
         return self._fresh.find_due(self._topic, now, readers) <= now
 
     async def _probe(self) -> None:
+        self._is_out = False
         async with anyio.create_task_group() as group:
             while True:
                 # A store that is out answers on no topic: they take turns,
@@ -140,9 +148,9 @@
                     await anyio.sleep(self._find_gap())
             # The store answered a peer.
             group.cancel_scope.cancel()
-        if self._is_lost:
+        if self._is_out:
             # Registrations that lapsed in the outage come back from now on.
-            self._on_outage(clocks.read_monotonic())
+            self._on_return(clocks.read_monotonic())
 
     def _find_gap(self) -> float:
         limits = self._fresh.waits[self._topic]
@@ -153,6 +161,7 @@
         try:
             await self._read(0.0)
         except dialect.StoreUnavailable as error:
+            self._is_out = True
             self._note_lost(str(error), clocks.read_monotonic())
             return
         self._note_heard(clocks.read_monotonic())
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -129,10 +129,7 @@
         for runner, place in list(self._places.items()):
             if place.removed_at is None:
                 continue
-            # The second bound holds if only this host was turned away: the
-            # runner may have left for good all the same.
-            is_over = now - place.removed_at > self._keep_s
-            if is_over or not self._is_outage(now):
+            if not self._may_come_back(place.removed_at, now):
                 self._drop(runner, now)
         for runner, gone in list(self._gone.items()):
             if now - gone.at > BIRTH_MEMORY:
@@ -174,6 +171,14 @@
         gone = self._gone.get(runner)
         return gone is not None and ids.has_run_before(start, gone.start)
 
+    def _may_come_back(self, removed_at: float, now: float) -> bool:
+        if self._return_at is not None and now - self._return_at < LAPSE:
+            # No host was served, so no runner could renew or leave.
+            return True
+        # The second bound holds if only this host was turned away: the
+        # runner may have left for good all the same.
+        return self._is_outage(now) and now - removed_at <= self._keep_s
+
     def _is_outage(self, now: float) -> bool:
         if self._outage_at is None:
             return False
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -68,6 +68,7 @@
             freshness.Freshness(board, {dialect.CONFIG: BOUND_S}),
             lambda: freshness.Readers((), ids.Host('host-a'), True),
             lambda now: None,
+            lambda now: None,
             lambda: None,
             anyio.Lock(),
             random.Random(1),
