Take no answer of a peer as given in the future

Cause: an age below zero in a peer's message would make an answer count for as long as it lies ahead; lost reads would not be noticed meanwhile. Ruled out: refusing the message: the rest of it is sound. Change: such an age counts as zero; the test failed before (an answer due at 66 s in place of 6 s).

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/freshness.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/freshness.py
@@ -76,6 +76,7 @@
         self.waits: dict[dialect.Topic, waits.Waits] = {}
         self.set_bounds(bounds)
         self._own: dict[dialect.Topic, float] = {}
+        # Near peers were told of the newest answers.
         self._is_told = True
         # Answers of near peers, and the newest one of far peers.
         self._near: dict[ids.Host, dict[dialect.Topic, _Answer]] = {}
@@ -243,8 +244,10 @@
     is_of_group: bool,
     now: float,
 ) -> dict[dialect.Topic, _Answer]:
+    # An answer from the future would count for as long as it lies ahead, and
+    # lost reads would not be noticed until then.
     return {
-        topic: _Answer(now - age_ms / MS, position, is_of_group)
+        topic: _Answer(now - max(0, age_ms) / MS, position, is_of_group)
         for topic, age_ms, position in zip(
             records.TOPICS, ages_ms, positions, strict=False
         )
--- a/tests/test_gateway_waits.py
+++ b/tests/test_gateway_waits.py
@@ -282,6 +282,13 @@
         self.assertEqual(100, fresh.list_group_ages(5.0)[0])
         self.assertEqual(5000, fresh.list_near_ages(5.0, True, True)[0])
 
+    def test_age_below_zero_counts_as_zero(self) -> None:
+        # A peer whose clock or message is wrong must not keep this host from
+        # asking the store.
+        _, fresh = self.make_fresh()
+        fresh.hear(ids.Host('host-b'), [-60000, 0], [0, 0], True, 5.0)
+        self.assertEqual(5.0 + BOUND_S / 2, self.find_due(fresh, 5.0))
+
     def test_host_that_does_not_read_goes_last(self) -> None:
         _, fresh = self.make_fresh()
         fresh.hear(ids.Host('host-b'), [60000, 60000], [0, 0], True, 5.0)
