--- /dev/null
+++ b/tests/test_gateway_sizes.py
@@ -0,0 +1,78 @@
+"""Sizes of requests under an allowance, played without a network."""
+
+import dataclasses
+import random
+
+import testtools
+
+from apricotlandingd.gateway.decisions import quotas
+import gatewayparts
+
+# Units a second, and the operators' slack.
+RATE = 1000.0
+SLACK = 20_000.0
+SECONDS = 60.0
+# Sizes of one kind of request: most are small, a tenth is ten times as large.
+SMALL = 100.0
+LARGE = 1000.0
+LARGE_SHARE = 0.1
+
+
+@dataclasses.dataclass
+class Counts:
+    """What became of the requests of one size."""
+
+    asked: int = 0
+    taken: int = 0
+
+    def find_share(self) -> float:
+        return self.taken / self.asked
+
+
+def play(load: float, slack: float = SLACK) -> dict[float, Counts]:
+    """Ask for so many times the allowance; return what became of it."""
+    spread = random.Random(7)
+    buckets = quotas.Quotas(slack, 0.0)
+    organisation = gatewayparts.make_organisation(RATE)
+    counts = {SMALL: Counts(), LARGE: Counts()}
+    mean = SMALL + LARGE_SHARE * (LARGE - SMALL)
+    now = 0.0
+    while now < SECONDS:
+        now += spread.expovariate(load * RATE / mean)
+        cost = LARGE if spread.random() < LARGE_SHARE else SMALL
+        counts[cost].asked += 1
+        wait = buckets.take(organisation, cost, 0.0, now)
+        counts[cost].taken += wait is None
+    return counts
+
+
+class TestSizes(testtools.TestCase):
+    """An organisation whose callers press beyond its allowance."""
+
+    def test_large_requests_are_not_starved_by_small_ones(self) -> None:
+        # The callers with the largest prompts of an organisation were told
+        # again and again to come back. Others of the same organisation asked
+        # for more than its allowance, and their small requests took each unit
+        # as it came: there were never enough at once for a large one.
+        counts = play(load=2.0)
+        self.assertGreaterEqual(
+            counts[LARGE].find_share(), 0.8 * counts[SMALL].find_share()
+        )
+
+    def test_allowance_is_used_all_the_same(self) -> None:
+        for load in (1.5, 2.0, 4.0):
+            counts = play(load)
+            used = SMALL * counts[SMALL].taken + LARGE * counts[LARGE].taken
+            self.assertGreaterEqual(used, RATE * SECONDS)
+
+    def test_nobody_below_the_allowance_is_refused(self) -> None:
+        for found in play(load=0.7).values():
+            self.assertEqual(found.asked, found.taken)
+
+    def test_without_slack_the_whole_burst_is_handed_out(self) -> None:
+        # What is held back comes out of the slack only: a caller within its
+        # burst is owed its place.
+        buckets = quotas.Quotas(0.0, -100.0)
+        organisation = gatewayparts.make_organisation(RATE)
+        self.assertIsNone(buckets.take(organisation, 900.0, 0.0, 0.0))
+        self.assertIsNone(buckets.take(organisation, 100.0, 0.0, 0.0))
