Take an entry for a runner only if every field has its type

Cause: decode_runner converted what it found: int('12'), bool and 12.5 as slots, any state but "draining" as open, a list as a service, infinity as an OverflowError and deep nesting as a RecursionError that no caller caught.

Ruled out: treating missing fields that nothing decides by (zone, version, coldLeftMs, seq) as harmless. Every runner writes them, so an entry without one is by another writer, and nothing says that a runner listens there.

Change: fields reads JSON values by their exact type and raises Unreadable, which names the field, the value (cut short) and what belongs there; its read_whole serves any strict whole number. An unknown state, an address of nobody, and an id that no header can hold name no runner. `born` has to be a whole number if it is there.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -6,6 +6,7 @@
 is made by the modules that call them.
 """
 
+import collections.abc
 import dataclasses
 import typing as ty
 
@@ -16,6 +17,7 @@
 __all__ = [
     'AnswerHead',
     'Batch',
+    'Damage',
     'Dialect',
     'HeaderList',
     'HistoryGone',
@@ -25,6 +27,7 @@
     'Store',
     'StoreUnavailable',
     'Topic',
+    'Unreadable',
 ]
 
 HeaderList = list[tuple[bytes, bytes]]
@@ -109,6 +112,16 @@
     value: bytes | None
 
 
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Damage:
+    """A record of which not even the key can be read."""
+
+    # None if the record does not tell its offset either.
+    offset: int | None
+    detail: str
+
+
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
@@ -116,6 +129,13 @@
 
     records: tuple[Record, ...]
     next_offset: int
+    # What was left out of ``records``. The offset to go on at lies behind it:
+    # a reader that stopped before a bad record would never read another one.
+    damages: tuple[Damage, ...] = ()
+
+
+class Unreadable(ValueError):
+    """Data from outside cannot be used; the text says why, and the remedy."""
 
 
 class StoreUnavailable(Exception):
@@ -156,10 +176,10 @@
         """
 
     def decode_catalogue(self, data: bytes) -> catalogue.Catalogue:
-        """Return a configuration; ValueError if it cannot be read."""
+        """Return a configuration; Unreadable if it is none."""
 
     def decode_runner(self, key: str, data: bytes) -> RunnerEntry:
-        """Return a registration; ValueError if it cannot be read."""
+        """Return a registration; Unreadable if it names no runner."""
 
 
 class Store(ty.Protocol):
@@ -179,8 +199,13 @@
         Raises StoreUnavailable or HistoryGone.
         """
 
-    async def read_hosts(self) -> dict[ids.Host, addresses.Address]:
-        """Return where hosts said that they listen for peers."""
+    async def read_hosts(
+        self,
+    ) -> collections.abc.Mapping[ids.Host, addresses.Address | Unreadable]:
+        """Return where hosts said that they listen for peers.
+
+        Raises StoreUnavailable.
+        """
 
     async def write_host(
         self, host: ids.Host, address: addresses.Address
