Leave bad records out of a read instead of failing it

Cause: one record without content, or with a key that is no UTF-8, raised in the middle of a batch; the read counted as a lost store, and the next one began at the same record, until history was dropped. A page of newest records with one odd item ended the reader, which the supervisor started again and again.

Ruled out: skipping bytes that break the store's own frames. A cut record may look like a removal, so such a read stays a failed one, with its delays.

Change: each record is decoded by itself; what has no key is a Damage in the batch, which is reported, and the offset goes on behind it.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/records.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/records.py
@@ -35,6 +35,9 @@
 REMOVED_KEYS = 2000
 
 Observer = collections.abc.Callable[[dialect.Topic, dialect.Record], None]
+DamageObserver = collections.abc.Callable[
+    [dialect.Topic, dialect.Damage], None
+]
 
 
 @ty.final
@@ -49,6 +52,9 @@
         # 0 until a topic is known as a whole.
         self.positions: Positions = dict.fromkeys(TOPICS, 0)
         self._observers: list[Observer] = []
+        # Called with each record that came without a key that can be read.
+        # Filled in by the daemon.
+        self.on_damage: DamageObserver = lambda topic, damage: None
         self.changed = anyio.Event()
 
     def add_observer(self, observer: Observer) -> None:
@@ -65,6 +71,8 @@
         """
         for record in batch.records:
             self._apply_record(topic, record)
+        for damage in batch.damages:
+            self.on_damage(topic, damage)
         if is_whole:
             self._remove_missing(topic, batch)
         if batch.next_offset > self.positions[topic]:
