Take a runner out when its entry is written over by nonsense

Cause: an entry that could not be read was logged and the one before stayed in use, so requests went on to an address that its runner had given up. Errors other than ValueError ended the reader. Each bad record wrote a line.

Ruled out: keeping the runner as during an outage of the store. The entry has not lapsed: the newest one is known, and it names no runner to use.

Change: the directory retracts such a runner at once. What cannot be used is counted (unreadable_total by source) and logged once a key and minute, which NoticeLimit decides; it remembers 200 keys, further ones share one notice.

Conclusion: an unreadable configuration still leaves the version before in force, since none at all would refuse every caller.

--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/noticelimit.py
@@ -0,0 +1,82 @@
+"""Which notices of bad input are worth a line in the log.
+
+A program that writes nonsense writes it again with each heartbeat, and a
+stranger may send thousands of messages a second. One line a minute for each
+key says all that there is to say; the rest would crowd out the lines by which
+operators find a failed request, because the log drops lines above its limit.
+"""
+
+import collections
+import dataclasses
+import typing as ty
+
+__all__ = ['NoticeLimit']
+
+# Seconds between two notices of one key.
+INTERVAL: ty.Final = 60.0
+# Keys that are told apart. Further ones within an interval share one notice,
+# so that neither the memory nor the log grows with the number of keys that
+# somebody invents: 200 keys are 60 KB, and a tenth of the lines that the log
+# takes in a single second.
+KEYS: ty.Final = 200
+# The key that those share.
+OTHERS: ty.Final = 'others'
+# Characters of a key that count; longer ones that begin alike are one key.
+KEY_LENGTH: ty.Final = 120
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class _Notice:
+    # When it was given last.
+    at: float
+    # Those that were held back since then.
+    held: int = 0
+
+
+@ty.final
+class NoticeLimit:
+    """Lets one notice a key and interval through."""
+
+    def __init__(self) -> None:
+        """Start without any notice given."""
+        # The one that was given longest ago comes first.
+        self._notices: collections.OrderedDict[str, _Notice] = (
+            collections.OrderedDict()
+        )
+
+    def admit(self, key: str, now: float) -> int | None:
+        """Decide on a notice; None if it is held back.
+
+        A notice that is to be given gets the number of those that were held
+        back before it.
+        """
+        key = key[:KEY_LENGTH]
+        if key not in self._notices:
+            self._drop_oldest(now)
+        if key not in self._notices and len(self._notices) >= KEYS:
+            key = OTHERS
+        known = self._notices.get(key)
+        if known is None:
+            self._notices[key] = _Notice(now)
+            return 0
+        if now - known.at < INTERVAL:
+            known.held += 1
+            return None
+        held = known.held
+        self._notices[key] = _Notice(now)
+        self._notices.move_to_end(key)
+        return held
+
+    def count_keys(self) -> int:
+        """Return the number of keys that are remembered."""
+        return len(self._notices)
+
+    def _drop_oldest(self, now: float) -> None:
+        if len(self._notices) < KEYS:
+            return
+        for key, notice in list(self._notices.items()):
+            if now - notice.at < INTERVAL:
+                # All that follow are newer.
+                return
+            del self._notices[key]
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -46,6 +46,7 @@
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.process import foreigninput
 from apricotlandingd.gateway.process import measures
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import stalls
@@ -116,6 +117,8 @@
         self.incarnation = ids.make_incarnation(
             config.host, str(config.peers), clocks.read_monotonic()
         )
+        self._measures = measures.Measures()
+        self._foreign = foreigninput.ForeignInput(self._measures)
         self._build_sharing()
         self._build_requests()
 
@@ -124,6 +127,7 @@
         self._directory = directory.Directory(config.bounds.drain_s)
         self._board = records.Board()
         self._board.add_observer(self._take_record)
+        self._board.on_damage = self._note_damage
         self._freshness = freshness.Freshness(
             self._board, _find_bounds(config.bounds)
         )
@@ -167,7 +171,6 @@
     def _build_requests(self) -> None:
         config = self._settings
         bounds = config.bounds
-        self._measures = measures.Measures()
         self._stalls = stalls.StallWatch()
         self._paces = pace.Paces()
         self._health = health.Health()
@@ -284,26 +287,35 @@
         self, topic: dialect.Topic, record: dialect.Record
     ) -> None:
         now = clocks.read_monotonic()
-        try:
-            if topic == dialect.CONFIG:
-                self._take_catalogue(record)
-            else:
-                self._take_runner(record, now)
-        except ValueError as error:
-            eliot.log_message(
-                'gateway:bad_record',
-                topic=topic,
-                key=record.key,
-                offset=record.offset,
-                detail=str(error),
-            )
-            return
+        if topic == dialect.CONFIG:
+            self._take_catalogue(record, now)
+        else:
+            self._take_runner(record, now)
         self._scheduler.pump(now)
 
-    def _take_catalogue(self, record: dialect.Record) -> None:
+    def _note_damage(
+        self, topic: dialect.Topic, damage: dialect.Damage
+    ) -> None:
+        place = '' if damage.offset is None else f' (offset {damage.offset})'
+        self._foreign.report(
+            foreigninput.Source.RECORD,
+            topic,
+            f'{damage.detail}{place}',
+            clocks.read_monotonic(),
+        )
+
+    def _take_catalogue(self, record: dialect.Record, now: float) -> None:
         if record.value is None:
             return
-        found = self._dialect.decode_catalogue(record.value)
+        try:
+            found = self._dialect.decode_catalogue(record.value)
+        except dialect.Unreadable as error:
+            # The version before stays in force: callers lose less by it than
+            # by none at all.
+            self._foreign.report(
+                foreigninput.Source.CONFIGURATION, record.key, str(error), now
+            )
+            return
         known = self._catalogue
         if known is not None and found.version <= known.version:
             return
@@ -322,7 +334,11 @@
             self._directory.remove(runner, now)
             state = 'removed'
         else:
-            entry = self._dialect.decode_runner(record.key, record.value)
+            try:
+                entry = self._dialect.decode_runner(runner, record.value)
+            except dialect.Unreadable as error:
+                self._retract(runner, str(error), now)
+                return
             birth = ids.read_birth(entry.start)
             state = 'draining' if entry.is_draining else 'open'
             news = self._directory.update(entry)
@@ -330,12 +346,31 @@
                 self._end_earlier(entry.start)
             elif news is directory.News.OUTDATED:
                 state = 'outdated'
+        self._log_runner(runner, state, birth, record.offset)
+
+    def _retract(self, runner: ids.Runner, detail: str, now: float) -> None:
+        # The entry in force is the newest one, and it names no runner to
+        # use. Going on with the one before would send callers to a process
+        # that has been replaced, or has taken its word back.
+        self._foreign.report(
+            foreigninput.Source.REGISTRATION, runner, detail, now
+        )
+        if self._directory.retract(runner, now):
+            self._log_runner(runner, 'unreadable')
+
+    def _log_runner(
+        self,
+        runner: ids.Runner,
+        state: str,
+        birth: int | None = None,
+        offset: int | None = None,
+    ) -> None:
         eliot.log_message(
             'gateway:runner',
             runner=runner,
             born=birth,
             state=state,
-            offset=record.offset,
+            offset=offset,
         )
 
     def _end_earlier(self, later: ids.RunnerStart) -> None:
@@ -390,7 +425,15 @@
             except dialect.StoreUnavailable as error:
                 eliot.log_message('gateway:join_failed', detail=str(error))
             await anyio.sleep(JOIN_INTERVAL)
-        for address in hosts.values():
+        for host, address in hosts.items():
+            if isinstance(address, dialect.Unreadable):
+                self._foreign.report(
+                    foreigninput.Source.HOST_RECORD,
+                    host,
+                    str(address),
+                    clocks.read_monotonic(),
+                )
+                continue
             self._mesh.seek(address)
 
     # States of hosts.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -124,6 +124,18 @@
             return
         self._drop(runner, now)
 
+    def retract(self, runner: ids.Runner, now: float) -> bool:
+        """Take out a runner whose entry names no runner to use.
+
+        At once, also while the store is out: the entry has not lapsed, it
+        was written over. What runs at the runner goes on. Returns whether
+        the runner was known.
+        """
+        if runner not in self._places:
+            return False
+        self._drop(runner, now)
+        return True
+
     def expire(self, now: float) -> None:
         """Drop runners whose registration did not come back in time."""
         for runner, place in list(self._places.items()):
--- /dev/null
+++ b/tests/test_foreign_input.py
@@ -0,0 +1,77 @@
+"""Bad input is said once a key and minute, and always counted."""
+
+import typing as ty
+
+import eliot
+import testtools
+
+from apricotlandingd.gateway.decisions import noticelimit
+from apricotlandingd.gateway.process import foreigninput
+from apricotlandingd.gateway.process import measures
+
+
+class TestNoticeLimit(testtools.TestCase):
+    """Which notices go through; time is an argument."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.limit = noticelimit.NoticeLimit()
+
+    def test_one_notice_a_key_and_minute(self) -> None:
+        self.assertEqual(0, self.limit.admit('a', 10.0))
+        for second in range(11, 70):
+            self.assertIsNone(self.limit.admit('a', float(second)))
+        self.assertEqual(0, self.limit.admit('b', 69.0))
+        self.assertEqual(59, self.limit.admit('a', 70.0))
+        self.assertIsNone(self.limit.admit('a', 71.0))
+
+    def test_many_keys_share_one_notice(self) -> None:
+        # An operator finds no request in the log: a stranger sends messages
+        # under a new name each, every one of them is worth a line, and the
+        # log drops what is above its limit.
+        given = [
+            number
+            for number in range(10_000)
+            if self.limit.admit(f'key {number}', number / 1000) is not None
+        ]
+        self.assertEqual(noticelimit.KEYS + 1, len(given))
+        self.assertEqual(noticelimit.KEYS + 1, self.limit.count_keys())
+
+    def test_keys_of_the_past_make_room(self) -> None:
+        for number in range(noticelimit.KEYS):
+            self.limit.admit(f'key {number}', 0.0)
+        self.assertEqual(0, self.limit.admit('new', noticelimit.INTERVAL))
+        self.assertIsNone(self.limit.admit('new', noticelimit.INTERVAL + 1))
+
+    def test_endless_keys_take_no_memory(self) -> None:
+        long = 'k' * 100_000
+        self.assertEqual(0, self.limit.admit(long + 'a', 0.0))
+        self.assertIsNone(self.limit.admit(long + 'b', 0.0))
+
+
+class TestForeignInput(testtools.TestCase):
+    """Counter and log."""
+
+    def test_counted_always_and_logged_once(self) -> None:
+        found = measures.Measures()
+        foreign = foreigninput.ForeignInput(found)
+        messages: list[dict[str, ty.Any]] = []
+        eliot.add_destinations(messages.append)
+        self.addCleanup(eliot.remove_destination, messages.append)
+        for second in range(30):
+            foreign.report(
+                foreigninput.Source.REGISTRATION,
+                'i-once',
+                'x' * 10_000,
+                float(second),
+            )
+        # Those that were written before there was a destination come too.
+        written = [item for item in messages if item.get('key') == 'i-once']
+        self.assertEqual(1, len(written))
+        self.assertEqual('gateway:unreadable', written[0]['message_type'])
+        length = foreigninput.LOGGED_LENGTH
+        self.assertEqual(length, len(written[0]['detail']))
+        self.assertIn(
+            'apricotlanding_unreadable_total{source="registration"} 30',
+            found.render().splitlines(),
+        )
