Show what strangers' messages do to a host

Cause: read in the code. A datagram that holds a map with a list for a key is a TypeError in the parser, which ended the mesh; a question with a wrong number of positions ended the listener for records; a reply of another kind ended the task that asks. Each is started again, after up to five seconds. Negative counts, NaN and addresses that are none are taken from a peer as they come.

Change: tests alone.

--- /dev/null
+++ b/tests/test_foreign_messages.py
@@ -0,0 +1,270 @@
+"""What strangers and broken hosts send to a host's ports."""
+
+import random
+import socket
+import struct
+import typing as ty
+
+import anyio
+import anyio.abc
+import msgpack
+import testtools
+
+from apricotlanding import addresses
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.decisions import waiting
+from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.replication import recordexchange
+from apricotlandingd.gateway.replication import records
+from apricotstandins import processes
+
+
+# Seconds that any of this may take; generous, for machines that are busy.
+PATIENCE = 10.0
+
+
+def make_state(**changes: ty.Any) -> messages.HostState:
+    """Return a host's state, with other fields if given."""
+    fields: dict[str, ty.Any] = {
+        'host': 'host-2',
+        'incarnation': 'host-2.1',
+        'state_address': '127.0.0.1:7600',
+        'peers_address': '127.0.0.1:7601',
+        'number': 1,
+        'is_stopping': False,
+        'reads_store': True,
+        'positions': [3, 4],
+        'running': {'r1': 2},
+        'usage': {'festin': 10.0},
+        'ranks': {'pool': [waiting.Rank(0, 0, False, 1.0)]},
+        'hints': {'host-3': '127.0.0.1:7602'},
+    }
+    return messages.HostState(**(fields | changes))
+
+
+def pack_state(**changes: ty.Any) -> bytes:
+    return messages.registry.encode(make_state(**changes))
+
+
+NAN = float('nan')
+INFINITE = float('inf')
+# Fields that no host of ours sends, and what a host would make of them.
+BAD_FIELDS: ty.Final[tuple[dict[str, ty.Any], ...]] = (
+    # More places than the runner has.
+    {'running': {'r1': -5}},
+    {'spare': {'r1': -5}},
+    # Allowances that never end, or begin again with each message.
+    {'usage': {'festin': NAN}},
+    {'usage': {'festin': -INFINITE}},
+    {'asked': {'festin': NAN}},
+    {'asked': {'festin': -5.0}},
+    {'group_asked': {'festin': INFINITE}},
+    # An order that is none.
+    {'ranks': {'pool': [waiting.Rank(0, 0, False, NAN)]}},
+    # Half of the message is used, the rest is not.
+    {'state_address': 'nowhere'},
+    {'state_address': 'host.example:7600'},
+    {'state_address': '127.0.0.1:0'},
+    {'state_address': '127.0.0.1:65536'},
+    {'peers_address': ''},
+    {'hints': {'host-3': '127.0.0.1'}},
+    {'hints': {f'host-{n}': '127.0.0.1:9' for n in range(500)}},
+    # Records that are never read again.
+    {'positions': [-1, 4]},
+    {'positions': [2**64 - 1, 4]},
+    {'number': -1},
+)
+BAD_DATA: ty.Final = (
+    b'',
+    b'\xc1',
+    b'\x93\x01',
+    # A list as the key of a map.
+    b'\x81\x91\x01\x01',
+    # Arrays in arrays, as deep as the parser goes.
+    b'\x91' * 1000 + b'\xc0',
+    b'\x91' * 60_000,
+    # An array that says that it has four billion entries.
+    b'\xdd\xff\xff\xff\xff',
+    msgpack.packb([1]),
+    msgpack.packb({'host': 1}),
+    msgpack.packb([{}, 1]),
+    msgpack.packb([1, *[None] * 12]),
+    msgpack.packb([1, 'x' * 60_000]),
+    msgpack.packb([99, 'x' * 60_000]),
+    msgpack.packb([2, [0, 0]]),
+)
+
+
+class TestMessages(testtools.TestCase):
+    """One message: a state, or a refusal of a readable length."""
+
+    def check_refused(self, data: bytes) -> None:
+        try:
+            found = messages.registry.decode(data)
+        except errors.Refused as error:
+            self.assertLess(len(str(error)), 1000)
+            return
+        self.assertNotIsInstance(found, messages.HostState, repr(found))
+
+    def test_good_state(self) -> None:
+        found = messages.registry.decode(pack_state())
+        self.assertEqual(make_state(), found)
+
+    def test_bytes(self) -> None:
+        for data in BAD_DATA:
+            self.check_refused(data)
+
+    def test_fields(self) -> None:
+        for changes in BAD_FIELDS:
+            self.check_refused(pack_state(**changes))
+
+
+class TestMesh(testtools.TestCase):
+    """A host that goes on hearing others."""
+
+    def make_mesh(self, port: int) -> mesh.Mesh:
+        found = mesh.Mesh(
+            ids.Host('host-1'),
+            addresses.Address('127.0.0.1', port),
+            (),
+            random.Random(1),
+        )
+        found.make_state = lambda number, scope, hints: make_state(
+            host='host-1', number=number, hints=hints
+        )
+        return found
+
+    def test_a_bad_message_does_not_end_the_mesh(self) -> None:
+        # Callers are refused, and allowances handed out twice: a host hears
+        # none of the others and sends nothing for up to five seconds. One
+        # datagram held a map with a list for a key, which ended its mesh.
+        async def scene() -> None:
+            port = processes.find_port()
+            found = self.make_mesh(port)
+            sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            async with anyio.create_task_group() as group:
+                group.start_soon(found.run)
+                await anyio.sleep(0.1)
+                for data in (
+                    *BAD_DATA,
+                    *(pack_state(**changes) for changes in BAD_FIELDS),
+                ):
+                    sender.sendto(data, ('127.0.0.1', port))
+                number = 0
+                with anyio.fail_after(PATIENCE):
+                    while not found.peers:
+                        number += 1
+                        sender.sendto(
+                            pack_state(number=number), ('127.0.0.1', port)
+                        )
+                        await anyio.sleep(0.02)
+                self.assertEqual(['host-2'], list(found.peers))
+                self.assertEqual(2, found.count_running(ids.Runner('r1')))
+                group.cancel_scope.cancel()
+
+        anyio.run(scene)
+
+
+def frame(data: bytes) -> bytes:
+    return struct.pack('>I', len(data)) + data
+
+
+BAD_QUERIES: ty.Final = (
+    b'',
+    b'\x00\x00',
+    b'GET / HTTP/1.1\r\n\r\n',
+    struct.pack('>I', 2**32 - 1) + b'x' * 100,
+    frame(b''),
+    *(frame(data[:4000]) for data in BAD_DATA),
+    frame(msgpack.packb([2, []])),
+    frame(msgpack.packb([2, [0, 0, 0]])),
+    frame(msgpack.packb([2, [0]])),
+    frame(msgpack.packb([2, [-5, 0]])),
+    frame(msgpack.packb([2, {'0': 0}])),
+    frame(msgpack.packb([4, [0, 0], [[], []]])),
+)
+BAD_PAGES: ty.Final = (
+    *BAD_QUERIES,
+    frame(msgpack.packb([4, [9], [[]]])),
+    frame(msgpack.packb([4, [9, 9], [[]]])),
+    frame(msgpack.packb([4, [-9, 9], [[], []]])),
+    frame(msgpack.packb([4, [2**64 - 1, 9], [[], []]])),
+    frame(msgpack.packb([4, [9, 9], [[['k', -1, b'']], []]])),
+    frame(msgpack.packb([4, [9, 9], [[['k', 1.5, b'']], []]])),
+)
+
+
+class TestRecordExchange(testtools.TestCase):
+    """Records between hosts."""
+
+    def make_exchange(self) -> recordexchange.RecordExchange:
+        board = records.Board()
+        record = dialect.Record('i-1', 0, b'{}')
+        batch = dialect.Batch((record,), 1)
+        board.apply(dialect.RUNNERS, batch, is_whole=False)
+        return recordexchange.RecordExchange(board)
+
+    def test_a_bad_question_does_not_end_the_listener(self) -> None:
+        # A host that the store turns away stays behind the others: the peer
+        # that it asks takes no connections for up to five seconds. Somebody
+        # asked that peer for the records of three topics.
+        async def scene() -> None:
+            found = self.make_exchange()
+            listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            place = addresses.Address('127.0.0.1', port)
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, found.serve)
+                for data in BAD_QUERIES:
+                    await self.ask(place, data)
+                board = records.Board()
+                with anyio.fail_after(PATIENCE):
+                    asker = recordexchange.RecordExchange(board)
+                    self.assertTrue(await asker.fetch(place))
+                self.assertEqual(1, board.positions[dialect.RUNNERS])
+                group.cancel_scope.cancel()
+
+        anyio.run(scene)
+
+    async def ask(self, place: addresses.Address, data: bytes) -> None:
+        async with await anyio.connect_tcp(place.host, place.port) as stream:
+            await stream.send(data)
+            await stream.send_eof()
+            with anyio.fail_after(PATIENCE):
+                try:
+                    while True:
+                        await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+
+    def test_a_bad_reply_is_no_answer(self) -> None:
+        # A host does not learn of a new configuration: the peer that it
+        # asked replied with a message of another kind, and the task that
+        # asks was down for up to five seconds.
+        for data in BAD_PAGES:
+            board = records.Board()
+            asker = recordexchange.RecordExchange(board)
+            self.assertFalse(anyio.run(self.fetch, asker, data), repr(data))
+            positions = records.list_positions(board.positions)
+            self.assertEqual([0, 0], positions, repr(data))
+
+    async def fetch(
+        self, asker: recordexchange.RecordExchange, data: bytes
+    ) -> bool:
+        async def reply(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                await stream.receive()
+                await stream.send(data)
+
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        place = addresses.Address('127.0.0.1', port)
+        async with listener, anyio.create_task_group() as group:
+            group.start_soon(listener.serve, reply)
+            with anyio.fail_after(PATIENCE):
+                is_taken = await asker.fetch(place)
+            group.cancel_scope.cancel()
+        return is_taken
