Take a host's message as a whole or not at all

Cause: the parser's TypeError (a list as the key of a map) was not among the errors that the codec turns into its own; the record exchange checked neither the kind of a message nor how many topics it is about; fields of a state were checked by type only, so that a bad address or hint failed half way through.

Ruled out: a guard that catches everything around each reader. It would hide our own faults, and a state would still be used by half.

Change: the codec's refusal covers the parser's errors, cut to 200 characters; the messages state their bounds (counts, finite units, offsets, addresses, hints); questions and replies are checked before they are used. Each is reported by its sender.

Conclusion: nobody proves who they are here, so a message of the right shape is still believed.

--- a/packages/apricotlanding/src/apricotlanding/codec.py
+++ b/packages/apricotlanding/src/apricotlanding/codec.py
@@ -21,6 +21,7 @@
 import collections.abc
 import dataclasses
 import enum
+import reprlib
 import typing as ty
 
 import msgpack
@@ -30,6 +31,10 @@
 
 __all__ = ['Registry']
 
+# Characters of an error about a message. Parts of the message stand in it,
+# which a stranger may make as long as a frame.
+DETAIL_LENGTH: ty.Final = 200
+
 T = ty.TypeVar('T')
 
 
@@ -77,7 +82,9 @@
             raise self._refuse('not an array')
         number = array[0]
         if not isinstance(number, int) or number not in self._adapters:
-            raise self._refuse(f'unknown {self.name} {number!r}')
+            # Cut short also in depth: the writing of a list within a list
+            # within a list ends in a RecursionError.
+            raise self._refuse(f'unknown {self.name} {reprlib.repr(number)}')
         names = self._fields[number]
         if len(array) - 1 > len(names):
             raise self._refuse(f'too many fields for {self.name} {number}')
@@ -116,12 +123,18 @@
     """Return the plain value in msgpack data; Refused if there is none."""
     try:
         return msgpack.unpackb(data, strict_map_key=False)
-    except (ValueError, msgpack.UnpackException) as error:
+    except (
+        ValueError,
+        # A list or a map as the key of a map.
+        TypeError,
+        msgpack.UnpackException,
+    ) as error:
         raise refuse_frame(f'not msgpack ({error})') from error
 
 
 def refuse_frame(detail: str) -> errors.Refused:
     """Return the error for data that cannot be read."""
+    short = detail[:DETAIL_LENGTH]
     return errors.Refused(
-        errors.make_problem(errors.Kind.BAD_FRAME, detail=detail)
+        errors.make_problem(errors.Kind.BAD_FRAME, detail=short)
     )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -20,7 +20,6 @@
 import collections.abc
 import dataclasses
 import enum
-import functools
 import random
 import socket
 import typing as ty
@@ -155,6 +154,11 @@
         self.on_dropped: collections.abc.Callable[
             [messages.HostState], None
         ] = lambda state: None
+        # Called with the sender's IP number and the reason for each message
+        # that cannot be read.
+        self.on_unreadable: collections.abc.Callable[
+            [str, str, float], None
+        ] = lambda sender, detail, now: None
 
     # What others are asked about.
 
@@ -221,7 +225,7 @@
         self._sought.pop(peer.address, None)
         for host, address in state.hints.items():
             if host != self._host and host not in self.peers:
-                self.seek(_parse(address))
+                self.seek(messages.read_address(address))
         self.on_state(state, now)
 
     def drop_silent(self, now: float) -> None:
@@ -250,7 +254,7 @@
         if is_near:
             for service, found in state.ranks.items():
                 ranks[service] = [rank.shift(now) for rank in found]
-        address = _parse(state.state_address)
+        address = messages.read_address(state.state_address)
         return Peer(state, address, now, ranks, is_near, asked=state.asked)
 
     def _find_turn(self) -> float:
@@ -326,15 +330,20 @@
     async def _receive(self, receiver: anyio.abc.UDPSocket) -> None:
         while True:
             try:
-                data, _ = await receiver.receive()
-                state = messages.registry.decode(data)
-                if isinstance(state, messages.HostState):
-                    self.take(state, clocks.read_monotonic())
-            except (errors.Refused, ValueError) as error:
-                eliot.log_message('gateway:bad_message', detail=str(error))
+                data, sender = await receiver.receive()
             except OSError:
                 # An earlier datagram met a host without a listener.
                 continue
+            now = clocks.read_monotonic()
+            try:
+                state = messages.registry.decode(data)
+            except errors.Refused as error:
+                self.on_unreadable(sender[0], str(error), now)
+                continue
+            if not isinstance(state, messages.HostState):
+                self.on_unreadable(sender[0], 'no state of a host', now)
+                continue
+            self.take(state, now)
 
     async def _tell_near(self) -> None:
         while True:
@@ -404,10 +413,3 @@
             }
         state = self.make_state(self._number, scope, hints)
         return messages.registry.encode(state)
-
-
-@functools.lru_cache(maxsize=4096)
-def _parse(address: str) -> addresses.Address:
-    # Each message names its sender's address, and there are few hosts: parsing
-    # them anew took 0.14 s of a host's 2.1 s of work in 9 s.
-    return addresses.parse_address(address)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -4,11 +4,22 @@
 after changes; it is whole each time, so a lost one does no harm. The rest
 are a request and its reply over one connection, for records that a peer
 lacks, which may be larger than a datagram.
+
+Whoever reaches a host's ports can send these, so types alone are not enough:
+a count below zero would give out places that a runner does not have, NaN in a
+total would end an allowance, and an offset beyond all others would keep a host
+from reading the store ever again. The fields state their bounds, and a message
+is taken as a whole or not at all.
 """
 
 import dataclasses
+import functools
+import math
 import typing as ty
 
+import pydantic
+
+from apricotlanding import addresses
 from apricotlanding import codec
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import waiting
@@ -18,11 +29,65 @@
     'RecordPage',
     'RecordQuery',
     'RecordRow',
+    'read_address',
     'registry',
 ]
 
 registry = codec.Registry('gateway message')
 
+# Largest whole number: what the platform's store can count to.
+LARGEST: ty.Final = 2**63 - 1
+# Largest number of units; sums over all hosts and seconds stay finite.
+LARGEST_UNITS: ty.Final = 1e15
+# Longest text of an address: an IPv6 number in brackets with its port.
+ADDRESS_LENGTH: ty.Final = 64
+# Most other hosts that one message names; this project's hosts name three.
+MOST_HINTS: ty.Final = 16
+
+
+@functools.lru_cache(maxsize=4096)
+def read_address(text: str) -> addresses.Address:
+    """Return the address in a message; ValueError if it is none.
+
+    Each message names its sender's address, and there are few hosts: parsing
+    them anew took 0.14 s of a host's 2.1 s of work in 9 s.
+    """
+    address = addresses.parse_address(text)
+    if address.port == 0:
+        raise ValueError('write a port above 0')
+    return address
+
+
+def _check_address(text: str) -> str:
+    read_address(text)
+    return text
+
+
+def _check_rank(rank: waiting.Rank) -> waiting.Rank:
+    if not math.isfinite(rank.on_time_by):
+        # Nothing can be sorted by it.
+        raise ValueError('the time of a rank is no number')
+    return rank
+
+
+Count = ty.Annotated[int, pydantic.Field(ge=0, le=LARGEST)]
+Offset = Count
+# Milliseconds; ``freshness`` takes one below zero for none.
+Age = ty.Annotated[int, pydantic.Field(ge=-LARGEST, le=LARGEST)]
+# Total of units; a request that is given back may leave it a hair below 0.
+Units = ty.Annotated[float, pydantic.Field(ge=-1.0, le=LARGEST_UNITS)]
+# Units a second.
+Rate = ty.Annotated[float, pydantic.Field(ge=0.0, le=LARGEST_UNITS)]
+AddressText = ty.Annotated[
+    str,
+    pydantic.Field(max_length=ADDRESS_LENGTH),
+    pydantic.AfterValidator(_check_address),
+]
+CheckedRank = ty.Annotated[waiting.Rank, pydantic.AfterValidator(_check_rank)]
+Hints = ty.Annotated[
+    dict[ids.Host, AddressText], pydantic.Field(max_length=MOST_HINTS)
+]
+
 
 @registry.register(1)
 @ty.final
@@ -33,38 +98,40 @@
     host: ids.Host
     incarnation: ids.Incarnation
     # Where the host takes these messages, and where it serves records.
-    state_address: str
-    peers_address: str
+    state_address: AddressText
+    peers_address: AddressText
     # Counts the messages of this incarnation.
-    number: int
+    number: Count
     is_stopping: bool
     # The store answered this host a short time ago.
     reads_store: bool
     # Next offset of each topic; see ``records.TOPICS``.
-    positions: list[int]
+    positions: list[Offset]
     # Requests at runners.
-    running: dict[ids.RunnerStart, int]
+    running: dict[ids.RunnerStart, Count]
     # Units handed out since the start, by organisation.
-    usage: dict[ids.Organisation, float]
+    usage: dict[ids.Organisation, Units]
     # The first of those that wait, by service; their times count from the
     # sending of this.
-    ranks: dict[ids.Pool, list[waiting.Rank]]
+    ranks: dict[ids.Pool, list[CheckedRank]]
     # Some other hosts, and where they take these messages.
-    hints: dict[ids.Host, str]
+    hints: Hints
     # Units asked for a second at this host, and at all hosts of its group, by
     # organisation; empty while there is one group.
-    asked: dict[ids.Organisation, float] = dataclasses.field(
+    asked: dict[ids.Organisation, Rate] = dataclasses.field(
         default_factory=dict
     )
-    group_asked: dict[ids.Organisation, float] = dataclasses.field(
+    group_asked: dict[ids.Organisation, Rate] = dataclasses.field(
         default_factory=dict
     )
     # Free places at runners of this host's group for which nothing waits
     # there; only in states for hosts of other groups.
-    spare: dict[ids.RunnerStart, int] = dataclasses.field(default_factory=dict)
+    spare: dict[ids.RunnerStart, Count] = dataclasses.field(
+        default_factory=dict
+    )
     # Milliseconds since the store's newest answer on each topic; empty if
     # nothing changed. Whose answer that is, ``freshness`` tells.
-    answer_ages: list[int] = dataclasses.field(default_factory=list)
+    answer_ages: list[Age] = dataclasses.field(default_factory=list)
 
 
 @registry.register(2)
@@ -73,7 +140,7 @@
 class RecordQuery:
     """Asks for the records at or after these offsets."""
 
-    positions: list[int]
+    positions: list[Offset]
 
 
 @registry.register(3)
@@ -83,7 +150,7 @@
     """One record."""
 
     key: str
-    offset: int
+    offset: Offset
     value: bytes | None
 
 
@@ -93,5 +160,5 @@
 class RecordPage:
     """The records of each topic, and the offsets to go on at."""
 
-    positions: list[int]
+    positions: list[Offset]
     topics: list[list[RecordRow]]
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -23,6 +23,7 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import random
 import signal
 import typing as ty
@@ -154,6 +155,7 @@
             self._find_fetch_time,
             self._spread,
         )
+        self._exchange.on_unreadable = self._note_peer
         state_port = config.state.port
         self._mesh = mesh.Mesh(
             config.host,
@@ -167,6 +169,9 @@
         self._mesh.make_state = self._make_state
         self._mesh.on_state = self._take_state
         self._mesh.on_dropped = self._forget_peer
+        self._mesh.on_unreadable = functools.partial(
+            self._foreign.report, foreigninput.Source.DATAGRAM
+        )
 
     def _build_requests(self) -> None:
         config = self._settings
@@ -401,7 +406,7 @@
 
     def _list_ahead(self) -> list[addresses.Address]:
         return [
-            addresses.parse_address(peer.state.peers_address)
+            messages.read_address(peer.state.peers_address)
             for peer in self._mesh.list_heard()
             if records.is_ahead(peer.state.positions, self._board.positions)
         ]
@@ -531,6 +536,11 @@
         self._quotas.forget(state.incarnation)
         self._freshness.forget(state.host)
 
+    def _note_peer(self, peer: str, detail: str) -> None:
+        self._foreign.report(
+            foreigninput.Source.PEER, peer, detail, clocks.read_monotonic()
+        )
+
     # Runners.
 
     async def _pump_forever(self) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
@@ -3,8 +3,13 @@
 One connection, one question, one reply, as length-prefixed msgpack. Used
 when a peer's positions show that it knows more, which is when the store
 turns this host away or is slower than the peer's message.
+
+Anybody can connect and ask, and what listens at a peer's address may be
+another program by now. Bytes that are no question or no reply end that one
+connection, and are reported.
 """
 
+import collections.abc
 import typing as ty
 
 import anyio
@@ -12,6 +17,7 @@
 import eliot
 
 from apricotlanding import addresses
+from apricotlanding import codec
 from apricotlanding import errors
 from apricotlanding import frames
 from apricotlanding import sockets
@@ -35,17 +41,26 @@
     def __init__(self, board: records.Board) -> None:
         """Serve and fill this board."""
         self._board = board
+        # Called with the peer's address and the reason for each question or
+        # reply that cannot be used. Filled in by the daemon.
+        self.on_unreadable: collections.abc.Callable[[str, str], None] = (
+            lambda peer, detail: None
+        )
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Answer one peer's question."""
         link = frames.FrameStream(stream)
         try:
             with anyio.fail_after(TIMEOUT):
-                query = messages.registry.unpack(await link.receive())
-                if isinstance(query, messages.RecordQuery):
-                    page = self._make_page(query)
-                    await link.send(messages.registry.pack(page))
-        except (*frames.CONNECTION_ERRORS, errors.Refused) as error:
+                query = _check_query(
+                    messages.registry.unpack(await link.receive())
+                )
+                page = self._make_page(query)
+                await link.send(messages.registry.pack(page))
+        except errors.Refused as error:
+            host = stream.extra(anyio.abc.SocketAttribute.remote_address)[0]
+            self.on_unreadable(str(host), str(error))
+        except frames.CONNECTION_ERRORS as error:
             eliot.log_message('gateway:bad_query', detail=repr(error))
         finally:
             await link.close()
@@ -55,7 +70,10 @@
         try:
             with anyio.fail_after(timeout):
                 page = await self._ask(address)
-        except (*frames.CONNECTION_ERRORS, errors.Refused) as error:
+        except errors.Refused as error:
+            self.on_unreadable(str(address), str(error))
+            return False
+        except frames.CONNECTION_ERRORS as error:
             eliot.log_message(
                 'gateway:fetch_failed', peer=str(address), detail=repr(error)
             )
@@ -76,8 +94,7 @@
                 records.list_positions(self._board.positions)
             )
             await link.send(messages.registry.pack(query))
-            page = messages.registry.unpack(await link.receive())
-            return ty.cast(messages.RecordPage, page)
+            return _check_page(messages.registry.unpack(await link.receive()))
 
     def _make_page(self, query: messages.RecordQuery) -> messages.RecordPage:
         batches = [
@@ -106,3 +123,24 @@
             )
             batch = dialect.Batch(found, offset)
             self._board.apply(topic, batch, is_whole=False)
+
+
+def _check_query(message: object) -> messages.RecordQuery:
+    if not isinstance(message, messages.RecordQuery):
+        raise codec.refuse_frame('no question for records')
+    _check_topics(len(message.positions))
+    return message
+
+
+def _check_page(message: object) -> messages.RecordPage:
+    if not isinstance(message, messages.RecordPage):
+        raise codec.refuse_frame('no page of records')
+    _check_topics(len(message.positions))
+    _check_topics(len(message.topics))
+    return message
+
+
+def _check_topics(count: int) -> None:
+    wanted = len(records.TOPICS)
+    if count != wanted:
+        raise codec.refuse_frame(f'{count} topics, {wanted} are known')
