Show what streams of a broken runner do; generate what the gateway reads

Cause: found by the generated streams and by reading on from there. An event's id with a control character cannot stand in the header that asks the next runner to go on; one of 5,000 digits fails to be compared; a stream without a mark between events is kept whole in memory; and if a whole event came together with a bad one, the caller never gets it, but the next runner is asked to go on behind it.

Change: tests alone. The generated ones cover states, questions and replies about records, answers and events.

--- /dev/null
+++ b/tests/test_fuzz_gateway.py
@@ -0,0 +1,348 @@
+"""Whatever peers, strangers and runners send, it ends typed.
+
+Each test generates input for one reader of the gateway and accepts two
+results: a value whose promises hold, or the reader's own error.
+"""
+
+import math
+import random
+import typing as ty
+
+import anyio
+import anyio.abc
+import h11
+import hypothesis
+from hypothesis import strategies
+import msgpack
+import testtools
+
+from apricotlanding import addresses
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import webclient
+from apricotlandingd.gateway.decisions import groupuses
+from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.decisions import spares
+from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.replication import recordexchange
+from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.requests import streams
+import fuzzing
+import gatewayparts
+import test_foreign_messages
+
+LONGEST_ERROR = 1000
+FESTIN = gatewayparts.make_organisation(100.0)
+
+
+def to_plain(message: object) -> ty.Any:
+    """Return the array of a message, in plain lists and maps."""
+    packed = messages.registry.encode(message)
+    return msgpack.unpackb(packed, strict_map_key=False)
+
+
+def pack(value: ty.Any) -> bytes:
+    """Return a value as msgpack; what that cannot hold becomes a text."""
+    return ty.cast(
+        bytes,
+        msgpack.packb(
+            _soften(value), default=repr, unicode_errors='surrogatepass'
+        ),
+    )
+
+
+def _soften(value: ty.Any) -> ty.Any:
+    if isinstance(value, dict):
+        return {key: _soften(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_soften(item) for item in value]
+    if isinstance(value, int) and not -(2**63) <= value < 2**64:
+        return float('inf')
+    return value
+
+
+def write_spoiled(message: object) -> strategies.SearchStrategy[bytes]:
+    """Return data that is nearly a message, or far off."""
+    plain = to_plain(message)
+    return strategies.one_of(
+        fuzzing.spoil(plain).map(pack),
+        fuzzing.spoil_bytes(pack(plain)),
+        fuzzing.JSON.map(pack),
+        strategies.binary(max_size=100),
+        strategies.sampled_from(test_foreign_messages.BAD_DATA),
+    )
+
+
+GOOD_STATE = test_foreign_messages.make_state(
+    asked={'festin': 5.0}, group_asked={'festin': 9.0}, spare={'r1': 4}
+)
+GOOD_QUERY = messages.RecordQuery([0, 0])
+GOOD_PAGE = messages.RecordPage(
+    [3, 4],
+    [
+        [messages.RecordRow('config', 2, b'{}')],
+        [
+            messages.RecordRow('i-1', 1, b'{}'),
+            messages.RecordRow('i-2', 3, None),
+        ],
+    ],
+)
+
+
+class FuzzTestCase(testtools.TestCase):
+    """Checks that all tests share."""
+
+    def check_error(self, error: Exception) -> None:
+        self.assertLess(len(str(error)), LONGEST_ERROR)
+
+    def decode(self, data: bytes) -> ty.Any:
+        """Return a message; None for the decoder's own error."""
+        try:
+            return messages.registry.decode(data)
+        except errors.Refused as error:
+            self.check_error(error)
+            return None
+
+
+class TestStates(FuzzTestCase):
+    """Datagrams of other hosts."""
+
+    @fuzzing.give_examples()
+    @hypothesis.given(strategies.lists(write_spoiled(GOOD_STATE), max_size=4))
+    def test_states(self, received: list[bytes]) -> None:
+        # Everything that is done with a state, and a good one behind.
+        host = mesh.Mesh(
+            ids.Host('host-1'),
+            addresses.Address('10.0.0.1', 7600),
+            (),
+            random.Random(1),
+        )
+        buckets = quotas.Quotas(0.0, 0.0)
+        buckets.take(FESTIN, 10.0, 0.0, 0.0)
+        uses = groupuses.GroupUses()
+        spare = spares.Spares()
+
+        def take(state: messages.HostState, now: float) -> None:
+            buckets.hear(state.incarnation, state.usage, now)
+            uses.hear(1, state.group_asked)
+            spare.hear(1, state.spare, now)
+            records.is_ahead(state.positions, records.Board().positions)
+
+        host.on_state = take
+        now = 1.0
+        for data in received:
+            now += 0.1
+            state = self.decode(data)
+            if not isinstance(state, messages.HostState):
+                continue
+            host.take(state, now)
+            self.check_state(state)
+        host.drop_silent(now)
+        self.assertGreaterEqual(host.count_running(ids.Runner('r1')), 0)
+        self.assertTrue(0 <= host.find_silent_share() < 1)
+        for rank in host.list_waiting(ids.Pool('pool')):
+            self.assertTrue(math.isfinite(rank.on_time_by))
+        self.assertTrue(0 <= uses.find_part(FESTIN, 1.0, 2) <= 1)
+        for count in spare.list_runners(now).values():
+            self.assertGreater(count, 0)
+        wait = buckets.take(FESTIN, 1e9, 0.0, now)
+        self.assertTrue(wait is None or 0 < wait < math.inf)
+        good = test_foreign_messages.make_state(
+            host='host-9', incarnation='host-9.1'
+        )
+        host.take(good, now)
+        self.assertIn('host-9', host.peers)
+
+    def check_state(self, state: messages.HostState) -> None:
+        for text in (
+            state.state_address,
+            state.peers_address,
+            *state.hints.values(),
+        ):
+            self.assertTrue(0 < messages.read_address(text).port < 65536)
+        # It can be told on.
+        messages.registry.encode(state)
+
+
+class ScriptedStream(anyio.abc.ByteStream):
+    """A connection whose other side has sent all that it will."""
+
+    def __init__(self, received: bytes) -> None:
+        self.received = received
+        self.sent = b''
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        if not self.received:
+            raise anyio.EndOfStream
+        part = self.received[:max_bytes]
+        self.received = self.received[max_bytes:]
+        return part
+
+    async def send(self, item: bytes) -> None:
+        self.sent += item
+
+    async def send_eof(self) -> None:
+        return
+
+    async def aclose(self) -> None:
+        return
+
+    @property
+    def extra_attributes(self) -> ty.Any:
+        return {
+            anyio.abc.SocketAttribute.remote_address: lambda: ('10.0.0.9', 1)
+        }
+
+
+def frame(data: bytes) -> bytes:
+    return test_foreign_messages.frame(data)
+
+
+class TestRecordStreams(FuzzTestCase):
+    """Questions and replies about records."""
+
+    @fuzzing.give_examples()
+    @hypothesis.given(
+        strategies.one_of(
+            write_spoiled(GOOD_QUERY).map(frame),
+            write_spoiled(GOOD_PAGE).map(frame),
+            fuzzing.spoil_bytes(frame(pack(to_plain(GOOD_QUERY)))),
+            strategies.binary(max_size=50),
+        )
+    )
+    def test_questions(self, data: bytes) -> None:
+        exchange = recordexchange.RecordExchange(records.Board())
+        stream = ScriptedStream(data)
+        anyio.run(exchange.serve, ty.cast(anyio.abc.SocketStream, stream))
+
+    @fuzzing.give_examples()
+    @hypothesis.given(write_spoiled(GOOD_PAGE))
+    def test_replies(self, data: bytes) -> None:
+        board = records.Board()
+        exchange = recordexchange.RecordExchange(board)
+        found = self.decode(data)
+        try:
+            page = recordexchange._check_page(found)
+        except errors.Refused as error:
+            self.check_error(error)
+            return
+        exchange._apply(page)
+        for topic in records.TOPICS:
+            self.assertTrue(0 <= board.positions[topic] < 2**63)
+            for record in board.list_since(topic, 0).records:
+                self.assertTrue(0 <= record.offset < 2**63)
+        # It can be told on.
+        passed = exchange._make_page(GOOD_QUERY)
+        messages.registry.encode(passed)
+
+
+GOOD_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: 1.2.3\r\n'
+    b'Transfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n\r\n'
+    b'c\r\nid: 1\ndata\n\n\r\n0\r\n\r\n'
+)
+PLAIN_ANSWER = (
+    b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull'
+)
+ANSWERS = strategies.one_of(
+    fuzzing.spoil_bytes(GOOD_ANSWER),
+    fuzzing.spoil_bytes(PLAIN_ANSWER),
+    strategies.binary(max_size=100),
+    strategies.sampled_from(
+        [
+            b'',
+            b'\x00' * 100,
+            b'HTTP/1.1 100 Continue\r\n\r\n' * 50 + PLAIN_ANSWER,
+            b'HTTP/1.1 101 Switching Protocols\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: ' + b'9' * 5000 + b'\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + b'f' * 5000,
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: zip\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nx: ' + b'y' * 100_000,
+            b'HTTP/9.9 200 OK\r\n\r\n',
+            b'HTTP/1.1 000 OK\r\n\r\n',
+            GOOD_ANSWER + PLAIN_ANSWER,
+        ]
+    ),
+)
+
+
+class TestAnswers(FuzzTestCase):
+    """What runners send."""
+
+    @fuzzing.give_examples()
+    @hypothesis.given(ANSWERS, strategies.sampled_from(['GET', 'POST']))
+    def test_answers(self, data: bytes, method: str) -> None:
+        anyio.run(self.read_answer, data, method)
+
+    async def read_answer(self, data: bytes, method: str) -> None:
+        stream = ScriptedStream(data)
+        client = runnerclient.RunnerClient(addresses.Address('10.0.0.9', 1))
+        connection = runnerclient._Connection(
+            ty.cast(anyio.abc.SocketStream, stream)
+        )
+
+        async def connect() -> runnerclient._Connection:
+            return connection
+
+        client._connect = connect  # type: ignore[method-assign]
+        call = runnerclient.Call(method, '/', [(b'host', b'x')], b'', True)
+        try:
+            async with client.open(call) as answer:
+                self.assertTrue(200 <= answer.status < 1000)
+                async for part in answer.iterate():
+                    self.assertTrue(part)
+                self.assertTrue(answer.is_complete)
+        except webclient.Broken as error:
+            self.check_error(error)
+
+    @fuzzing.give_examples()
+    @hypothesis.given(
+        strategies.one_of(
+            fuzzing.spoil_bytes(b'id: 1\nx\n\nid: 2\ny\n\nid: 3\nz\n\n'),
+            strategies.binary(max_size=100),
+            strategies.lists(
+                strategies.sampled_from(
+                    [
+                        b'id: 7\n',
+                        b'id: 8\r\n',
+                        b'ID:9',
+                        b'\n\n',
+                        b'\r\n\r\n',
+                        b'id: ' + b'9' * 5000 + b'\n',
+                        b'id: a\x00b\n',
+                        b'id: \xff\n',
+                        b'id: \n',
+                        b'data: x\n',
+                    ]
+                )
+            ).map(b''.join),
+        ),
+        strategies.integers(1, 7),
+        strategies.sampled_from(['', '5', 'x', '9' * 400]),
+    )
+    def test_events(self, data: bytes, size: int, last_event: str) -> None:
+        reader = streams.EventReader(last_event)
+        passed = b''
+        try:
+            for place in range(0, len(data), size):
+                passed += reader.take(data[place : place + size])
+        except streams.OutOfOrder as error:
+            self.check_error(error)
+        self.assertTrue(data.startswith(passed))
+        if passed:
+            self.assertTrue(passed.endswith((b'\n\n', b'\r\n\r\n')))
+        if reader.last_event == last_event:
+            return
+        # Another runner can be asked to go on behind it.
+        h11.Request(
+            method='GET',
+            target='/',
+            headers=[
+                (b'host', b'x'),
+                (b'last-event-id', reader.last_event.encode('latin-1')),
+            ],
+        )
