Refuse events that cannot be gone on from, before anything is kept of them

Cause: ids were followed line by line while a chunk was read, so an error left the place to go on from behind events that the caller never got; ids and the length of an event had no bound.

Ruled out: passing on the whole events before the bad one. It would need a second result beside the error, and the next runner sends them again anyway.

Change: take keeps nothing before all of a chunk has been looked at; an id has to be printable and at most 255 characters, compared up to 18 digits; an event is at most 256 KiB.

Conclusion: a stream is as bad as its worst event, and goes on elsewhere.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/streams.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/streams.py
@@ -10,10 +10,19 @@
 __all__ = ['EventReader', 'OutOfOrder']
 
 _SEPARATORS = (b'\n\n', b'\r\n\r\n')
+# Longest event in bytes. A stream without a mark between events would else be
+# kept until the host is killed for its memory, with all its requests. An event
+# is some tokens, a few hundred bytes.
+EVENT_LIMIT: ty.Final = 256 * 1024
+# Longest id of an event. It goes to the next runner in a header.
+ID_LENGTH: ty.Final = 255
+# Most digits of an id that is compared as a number; counting from one up, no
+# stream comes near.
+ID_DIGITS: ty.Final = 18
 
 
 class OutOfOrder(Exception):
-    """An event does not follow the one before it."""
+    """What came is not the next event; another runner may have it."""
 
 
 @ty.final
@@ -42,17 +51,31 @@
             data.rfind(mark) + len(mark) if mark in data else 0
             for mark in _SEPARATORS
         )
-        whole, self._partial = data[:end], data[end:]
+        whole, partial = data[:end], data[end:]
+        if len(partial) > EVENT_LIMIT:
+            raise OutOfOrder(f'an event of more than {EVENT_LIMIT} bytes')
+        # Nothing is kept before all of it has been looked at. Of what is
+        # refused the caller gets no byte, so the place to go on from must not
+        # move either: it would miss the events before the bad one.
+        last, count = self.last_event, self.count
         for line in whole.splitlines():
             if line[:3].lower() == b'id:':
-                self._follow(line[3:].strip().decode('latin-1'))
+                last = _follow(last, line[3:].strip())
+                count += 1
+        self.last_event, self.count, self._partial = last, count, partial
         return whole
 
-    def _follow(self, event: str) -> None:
-        self.count += 1
-        if self.last_event.isdecimal() and event.isdecimal():
-            # Ids count from one up; a gap or a repeat means that the runner
-            # went on from another place than was asked for.
-            if int(event) <= int(self.last_event):
-                raise OutOfOrder(f'event {event} after {self.last_event}')
-        self.last_event = event
+
+def _follow(last: str, data: bytes) -> str:
+    event = data.decode('latin-1')
+    if len(event) > ID_LENGTH or not event.isprintable():
+        raise OutOfOrder(f'event id {event[:ID_DIGITS]!r} cannot be asked for')
+    if not last.isdecimal() or not event.isdecimal():
+        return event
+    if len(event) > ID_DIGITS:
+        raise OutOfOrder(f'event id of {len(event)} digits')
+    # Ids count from one up; a gap or a repeat means that the runner went on
+    # from another place than was asked for.
+    if len(last) <= ID_DIGITS and int(event) <= int(last):
+        raise OutOfOrder(f'event {event} after {last}')
+    return event
