Refuse two host names before a place is taken; count answers that are none

Cause: the head was checked by the client to the runner, after everything else, and its error was nobody's. Bytes that are no answer counted as a connection that broke, so that a program at a runner's address could not be told from a runner that fails.

Ruled out: an error of the client that the exchange turns into 400. A place and an allowance would be spent first.

Garbled is the kind of Broken in which something came that is no answer; it and events out of order are reported by runner. Settings that cannot be read again are counted.

Conclusion: an answer that ends early stays a broken connection.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -383,6 +383,13 @@
         'this host stopped while a runner worked on the request',
         'it may have run; check what it did before you send it again',
     )
+    BAD_HEAD = Template(
+        'APL611',
+        400,
+        Outcome.NOT_RUN,
+        'the headers cannot be passed on: {detail}',
+        'send a head that a server of HTTP/1.1 must accept',
+    )
 
 
 @ty.final
--- a/packages/apricotlanding/src/apricotlanding/webclient.py
+++ b/packages/apricotlanding/src/apricotlanding/webclient.py
@@ -18,7 +18,14 @@
 from apricotlanding import addresses
 from apricotlanding import sockets
 
-__all__ = ['Broken', 'NotSent', 'Response', 'WebClient', 'WebError']
+__all__ = [
+    'Broken',
+    'Garbled',
+    'NotSent',
+    'Response',
+    'WebClient',
+    'WebError',
+]
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -35,11 +42,15 @@
     """No connection could be made; nothing was sent."""
 
 
-@ty.final
 class Broken(WebError):
     """The connection broke after the request may have been sent."""
 
 
+@ty.final
+class Garbled(Broken):
+    """What came is no answer; the other side may be another program."""
+
+
 @ty.final
 @dataclasses.dataclass(slots=True)
 class Response:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -152,7 +152,10 @@
     def read_request(
         self, method: str, target: str, headers: HeaderList
     ) -> RequestHead | None:
-        """Return what a caller's headers say; None if no attempt is named."""
+        """Return what a caller's headers say; None if no attempt is named.
+
+        Raises Unreadable for headers that no call to a runner may have.
+        """
 
     def write_request(
         self,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -209,6 +209,7 @@
             find_group_part=self._find_group_part,
             is_stopping=lambda: self._is_stopping,
             on_change=self._mesh.tell,
+            on_garbled=self._note_garbled,
             habits=habits.Habits(),
         )
         self._listener = listener.Listener(
@@ -541,6 +542,11 @@
             foreigninput.Source.PEER, peer, detail, clocks.read_monotonic()
         )
 
+    def _note_garbled(self, runner: ids.Runner, detail: str) -> None:
+        self._foreign.report(
+            foreigninput.Source.ANSWER, runner, detail, clocks.read_monotonic()
+        )
+
     # Runners.
 
     async def _pump_forever(self) -> None:
@@ -602,7 +608,12 @@
         except Exception as error:
             # Half a file, or one that is not for us: the settings in force
             # stay.
-            eliot.log_message('gateway:reload_failed', detail=str(error))
+            self._foreign.report(
+                foreigninput.Source.SETTINGS,
+                'reload',
+                str(error),
+                clocks.read_monotonic(),
+            )
             return
         is_changed = found != self._settings
         for seed in found.seeds:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -109,6 +109,8 @@
     ]
     is_stopping: collections.abc.Callable[[], bool]
     on_change: collections.abc.Callable[[], None]
+    # Called with each answer that is none, and the reason.
+    on_garbled: collections.abc.Callable[[ids.Runner, str], None]
     habits: habits.Habits
 
 
@@ -132,7 +134,7 @@
         self._method: str = scope['method']
         self._target = _find_target(scope)
         self._body = b''
-        self._head: dialect.RequestHead
+        self._head = _make_nameless_head()
         self._route: catalogue.Route
         # '' until the route is known.
         self._service = ids.Pool('')
@@ -201,11 +203,13 @@
     # Admitting.
 
     async def _admit(self) -> errors.Problem | None:
-        head = self._parts.spoken.read_request(
-            self._method, self._target, self._scope['headers']
-        )
+        try:
+            head = self._parts.spoken.read_request(
+                self._method, self._target, self._scope['headers']
+            )
+        except dialect.Unreadable as error:
+            return errors.make_problem(errors.Kind.BAD_HEAD, detail=str(error))
         if head is None:
-            self._head = _make_nameless_head()
             return errors.make_problem(errors.Kind.NO_ATTEMPT)
         self._head = head
         config = self._parts.find_catalogue()
@@ -464,6 +468,8 @@
             return _End.NOT_RUN
         except (webclient.Broken, streams.OutOfOrder, _Silent) as error:
             self._detail = repr(error)
+            if isinstance(error, (webclient.Garbled, streams.OutOfOrder)):
+                self._parts.on_garbled(entry.id, str(error))
             self._note_bad(entry, is_reached=True)
             return _End.FAILED
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
@@ -7,8 +7,9 @@
 
 * ``webclient.NotSent``: no connection could be made; the runner cannot have
   run the request.
-* ``webclient.Broken``: the connection broke, or what came is not an answer;
-  the runner may have run the request.
+* ``webclient.Broken``: the connection broke; the runner may have run the
+  request. ``webclient.Garbled`` is the kind of it in which something came that
+  is no answer.
 """
 
 import collections.abc
@@ -51,7 +52,6 @@
     OSError,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
-    h11.RemoteProtocolError,
 )
 
 
@@ -238,6 +238,8 @@
         self.made_at = made_at
         self._http = h11.Connection(h11.CLIENT)
         self._is_sent = False
+        # The runner has closed its side.
+        self._is_ended = False
         self.is_kept = False
         self.idle_at = 0.0
         self.expires_at = 0.0
@@ -299,15 +301,21 @@
                 if isinstance(event, h11.ConnectionClosed):
                     raise webclient.Broken('closed without an answer')
                 if event is h11.PAUSED:
-                    raise webclient.Broken('bytes behind the answer')
+                    raise webclient.Garbled('bytes behind the answer')
                 return ty.cast(h11.Event, event)
         except _BROKEN as error:
             raise webclient.Broken(repr(error)) from error
+        except h11.RemoteProtocolError as error:
+            if self._is_ended:
+                # What is missing is the rest of an answer.
+                raise webclient.Broken(repr(error)) from error
+            raise webclient.Garbled(repr(error)) from error
 
     async def _read_bytes(self) -> bytes:
         try:
             return await self._stream.receive(READ_SIZE)
         except anyio.EndOfStream:
+            self._is_ended = True
             return b''
 
     def start_next(self) -> bool:
