Play two hosts in the midst of nonsense; make fuzz for long runs

Cause: the generated tests try one reader at a time; that no task of a host ends shows only in a whole one.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,14 @@
 explore: .venv/installed
 	APRICOT_EXAMPLES=20000 $(BIN)/python -m pytest tests/test_ownership_rules.py
 
+# Input of a wrong shape for every reader, with fresh seeds; about ten minutes.
+.PHONY: fuzz
+fuzz: .venv/installed
+	APRICOT_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest --numprocesses 2 \
+		platform/tests/test_fuzz_formats.py \
+		platform/tests/test_fuzz_hosts.py tests/test_fuzz_gateway.py
+EXAMPLES ?= 20000
+
 # Every fault at every step; writes matrix-output/MATRIX.md.
 .PHONY: matrix
 matrix: .venv/installed
--- a/tests/fuzzing.py
+++ b/tests/fuzzing.py
@@ -18,7 +18,7 @@
 __all__ = [
     'JSON',
     'give_examples',
-    'make_random_seed',
+    'list_seeds',
     'spoil',
     'spoil_bytes',
     'write_json',
@@ -28,6 +28,8 @@
 VARIABLE = 'APRICOT_EXAMPLES'
 # Examples of each test that are tried without the variable; half a second.
 EXAMPLES = 150
+# Examples of the other tests that take about as long as a play of whole hosts.
+EXAMPLES_A_SEED = 500
 T = ty.TypeVar('T')
 
 _SCALARS = strategies.one_of(
@@ -95,11 +97,16 @@
     )
 
 
-def make_random_seed() -> int:
-    """Return a fixed seed, or a fresh one in a long run."""
+def list_seeds() -> list[int]:
+    """Return the seeds of tests that play whole hosts.
+
+    One that is always the same, or as many fresh ones as fit the time that
+    the examples of the other tests take.
+    """
     if VARIABLE not in os.environ:
-        return 1
-    return int.from_bytes(os.urandom(4), 'big')
+        return [1]
+    count = max(1, int(os.environ[VARIABLE]) // EXAMPLES_A_SEED)
+    return [int.from_bytes(os.urandom(4), 'big') for _ in range(count)]
 
 
 @strategies.composite
