Show what an answer does that our server refuses to write

The client takes control characters in a header's value, and any status of three digits; the server writes neither, so the exchange ended with an error of nobody, and the caller's connection was closed without a word.

Change: tests alone.

--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -265,10 +265,14 @@
             b'HTTP/9.9 200 OK\r\n\r\n',
             b'HTTP/1.1 000 OK\r\n\r\n',
             GOOD_ANSWER + PLAIN_ANSWER,
+            b'HTTP/1.1 777 Odd\r\nContent-Length: 0\r\n\r\n',
+            b'HTTP/1.1 200 OK\r\nx: a\x01b\r\nContent-Length: 0\r\n\r\n',
         ]
     ),
 )
 
+CONTROL = {*range(32), 127}
+
 
 class TestAnswers(FuzzTestCase):
     """What runners send."""
@@ -292,7 +296,11 @@
         call = runnerclient.Call(method, '/', [(b'host', b'x')], b'', True)
         try:
             async with client.open(call) as answer:
-                self.assertTrue(200 <= answer.status < 1000)
+                self.assertTrue(200 <= answer.status < 600)
+                for _, value in answer.headers:
+                    # Our server writes it; tabs are no harm.
+                    text = value.replace(b'\t', b'')
+                    self.assertEqual(b'', bytes(set(text) & CONTROL))
                 async for part in answer.iterate():
                     self.assertTrue(part)
                 self.assertTrue(answer.is_complete)
