Take an answer only if it can be passed on

Cause: the parser of runners' answers is more lenient than the server that writes them to callers.

Ruled out: cleaning the values. What a runner meant by them is not known, and its answer is to be passed on unchanged or not at all.

Change: a status above 599 or a control character in a header makes an answer a Garbled one, before anything is begun; another runner is asked if that is allowed, else the caller is told that its request may have run.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
@@ -15,6 +15,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import re
 import select
 import typing as ty
 
@@ -47,6 +48,10 @@
 # be repeated. Runners drop idle connections now and then; a request that is
 # then lost may have run, and cannot be sent again.
 FRESH_IDLE = 1.0
+# Statuses have five classes (RFC 9110, 15).
+LAST_STATUS = 599
+# Not allowed in the value of a header (RFC 9110, 5.5), but for the tab.
+_CONTROL = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 
 _BROKEN = (
     OSError,
@@ -289,6 +294,7 @@
         while True:
             event = await self.read_event()
             if isinstance(event, h11.Response):
+                _check_head(event)
                 return event
 
     async def read_event(self) -> h11.Event:
@@ -335,3 +341,14 @@
         except _BROKEN:
             # Broken already: nothing is left to close.
             return
+
+
+def _check_head(response: h11.Response) -> None:
+    # The parser is lenient where the server that writes the answer to the
+    # caller is not. Found out there, it would be too late to ask another
+    # runner, or to say anything.
+    if response.status_code > LAST_STATUS:
+        raise webclient.Garbled(f'status {response.status_code}')
+    for name, value in response.headers:
+        if _CONTROL.search(value):
+            raise webclient.Garbled(f'control characters in {name!r}')
