--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -5,9 +5,39 @@
 import eliot
 import testtools
 
+from apricotlanding import ids
 from apricotlandingd.gateway.decisions import noticelimit
 from apricotlandingd.gateway.process import foreigninput
 from apricotlandingd.gateway.process import measures
+from apricotlandingd.gateway.runners import directory
+import gatewayparts
+
+
+class TestDirectory(testtools.TestCase):
+    """A runner whose entry was written over."""
+
+    def test_is_out_also_while_the_store_is_away(self) -> None:
+        # A request goes to a process that is no runner. The store is out, so
+        # registrations that end may only have lapsed, and are kept; this one
+        # has not lapsed, it was replaced by one that names no runner.
+        runners = directory.Directory(2.0)
+        for name in ('r1', 'r2'):
+            runners.update(gatewayparts.make_entry(name))
+        runners.note_outage(10.0)
+        runners.remove(ids.Runner('r1'), 10.1)
+        self.assertTrue(runners.retract(ids.Runner('r2')))
+        found = runners.list_open(gatewayparts.POOL)
+        self.assertEqual(['r1'], [entry.id for entry in found])
+        self.assertFalse(runners.retract(ids.Runner('r2')))
+
+    def test_one_that_is_waited_for_is_out_too(self) -> None:
+        runners = directory.Directory(2.0)
+        runners.update(gatewayparts.make_entry('r1'))
+        runners.note_outage(10.0)
+        runners.remove(ids.Runner('r1'), 10.1)
+        runners.retract(ids.Runner('r1'))
+        self.assertEqual([], runners.list_open(gatewayparts.POOL))
+        runners.expire(20.0)
 
 
 class TestNoticeLimit(testtools.TestCase):
