Show that a series of bad records costs a call each

Cause: the pause in which one call gathers several records is taken only if the batch before had records, and one of damaged ones has none.

Change: the test alone; its store can hold records that cannot be read.

Figures: on the code as it is 30 bad records, 10 ms apart, take more than the 10 calls that are allowed (test_series_of_bad_records_is_read_in_few_calls fails).

--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -25,6 +25,8 @@
     def __init__(self) -> None:
         self.calls = 0
         self.records: list[dialect.Record] = []
+        # Offsets of those that cannot be read.
+        self.damaged: list[int] = []
         self.changed = anyio.Event()
 
     def write(self, key: str) -> None:
@@ -33,9 +35,27 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def write_damage(self) -> None:
+        """Write a record that cannot be read."""
+        self.damaged.append(len(self.records))
+        self.write('')
+
+    def make_batch(self, offset: int) -> dialect.Batch:
+        damages = tuple(
+            dialect.Damage(place, 'the key is no text')
+            for place in self.damaged
+            if place >= offset
+        )
+        found = tuple(
+            record
+            for record in self.records[offset:]
+            if record.offset not in self.damaged
+        )
+        return dialect.Batch(found, len(self.records), damages)
+
     async def read_newest(self, topic: dialect.Topic) -> dialect.Batch:
         self.calls += 1
-        return dialect.Batch(tuple(self.records), len(self.records))
+        return self.make_batch(0)
 
     async def read_from(
         self, topic: dialect.Topic, offset: int, wait_s: float
@@ -43,7 +63,7 @@
         self.calls += 1
         while offset >= len(self.records):
             await self.changed.wait()
-        return dialect.Batch(tuple(self.records[offset:]), len(self.records))
+        return self.make_batch(offset)
 
     async def read_hosts(self) -> dict[ids.Host, addresses.Address]:
         return {}
@@ -58,7 +78,10 @@
     """One topic."""
 
     def play(self, keys: list[str], pause_s: float) -> tuple[int, int]:
-        """Write keys into a store that was empty; return calls and records."""
+        """Write keys into a store that was empty; return calls and records.
+
+        An empty key stands for a record that cannot be read.
+        """
         store = QuietStore()
         board = records.Board()
         reader = storereader.StoreReader(
@@ -79,7 +102,10 @@
                 group.start_soon(reader.run)
                 await anyio.sleep(0.35)
                 for key in keys:
-                    store.write(key)
+                    if key:
+                        store.write(key)
+                    else:
+                        store.write_damage()
                     await anyio.sleep(pause_s)
                 await anyio.sleep(SETTLE_S)
                 group.cancel_scope.cancel()
@@ -101,3 +127,11 @@
         calls, position = self.play([f'k{n}' for n in range(30)], 0.01)
         self.assertEqual(30, position)
         self.assertLessEqual(calls, 10)
+
+    def test_series_of_bad_records_is_read_in_few_calls(self) -> None:
+        # All hosts together may make so many calls. Another program writes a
+        # series of records that cannot be read; each ended the wait of a
+        # read, and the next one began at once: a call for each.
+        calls, position = self.play([''] * 30, 0.01)
+        self.assertEqual(30, position)
+        self.assertLessEqual(calls, 10)
