--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -183,10 +183,10 @@
             )
             await self._read_whole()
             return
-        self._had_records = bool(batch.records)
+        self._had_records = bool(batch.records or batch.damages)
         self._board.apply(self._topic, batch, is_whole=False)
         answered_at = clocks.read_monotonic()
-        if not batch.records:
+        if not self._had_records:
             # The answer may have been under way for a while.
             answered_at = min(answered_at, begun_at + wait_s)
         self._fresh.note_answer(self._topic, answered_at)
@@ -194,7 +194,7 @@
     async def _read_whole(self) -> None:
         begun_at = clocks.read_monotonic()
         batch = await self._store.read_newest(self._topic)
-        self._had_records = bool(batch.records)
+        self._had_records = bool(batch.records or batch.damages)
         self._board.apply(self._topic, batch, is_whole=True)
         # A topic without any record is waited on from its start. Hosts that
         # asked for all of it ten times a second made nearly a third of a
