Show how much memory lines about long ids may take

Cause: a line holds what a caller wrote, up to the 64 KB of a head, twice (attempt and target), and 2,000 lines may wait: 256 MB of the 300 that a process has, when the reader of standard output is slow.

--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -1,5 +1,7 @@
 """Bad input is said once a key and minute, and always counted."""
 
+import io
+import json
 import typing as ty
 
 import eliot
@@ -8,6 +10,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import noticelimit
 from apricotlandingd.gateway.process import foreigninput
+from apricotlandingd.gateway.process import journal
 from apricotlandingd.gateway.process import measures
 from apricotlandingd.gateway.runners import directory
 import gatewayparts
@@ -40,6 +43,35 @@
         runners.expire(20.0)
 
 
+class TestJournal(testtools.TestCase):
+    """Lines about input that is as long as somebody likes."""
+
+    def test_long_fields_are_cut(self) -> None:
+        # A host is killed for its memory, with all its requests. Callers
+        # send ids and paths of 60 KB, each of which stands in a line that
+        # waits to be written, two thousand of them at most.
+        stream = io.StringIO()
+        lines = journal.Journal(stream, {'host': 'host-1'})
+        lines.start()
+        long = 'x' * 60_000
+        for number in range(500):
+            lines(
+                {
+                    'message_type': 'gateway:request',
+                    'attempt': f'{number} {long}',
+                    'target': long,
+                    'tokens': [1, 2],
+                }
+            )
+        lines.stop()
+        written = stream.getvalue().splitlines()
+        self.assertEqual(500, len(written))
+        self.assertLess(len(stream.getvalue()), 500 * 10_000)
+        first = json.loads(written[0])
+        self.assertTrue(first['attempt'].startswith('0 xxx'))
+        self.assertEqual([1, 2], first['tokens'])
+
+
 class TestNoticeLimit(testtools.TestCase):
     """Which notices go through; time is an argument."""
 
