Cut long texts in log lines

Ruled out: refusing long heads.

Change: texts of a line are cut at 4,000 characters, which tracebacks of ours fit into.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/journal.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/journal.py
@@ -25,6 +25,10 @@
 # requests a second with two or three lines each.
 LINES_PER_S = 300.0
 LINES_AT_ONCE = 900.0
+# Characters of a text in a line. Callers write ids and paths of up to 64 KB,
+# and QUEUE_LINES of them would be most of a host's memory; a traceback of ours
+# fits.
+FIELD_LENGTH = 4000
 # Fields of eliot's that our lines do not need.
 _UNUSED = ('task_uuid', 'task_level')
 
@@ -59,7 +63,7 @@
             self._dropped += 1
             return
         line = {
-            name: value
+            name: _shorten(value)
             for name, value in message.items()
             if name not in _UNUSED
         }
@@ -97,6 +101,10 @@
                 continue
 
 
+def _shorten(value: object) -> object:
+    return value[:FIELD_LENGTH] if isinstance(value, str) else value
+
+
 @contextlib.contextmanager
 def open_journal(**fields: str) -> collections.abc.Iterator[None]:
     """Write log lines to standard output while the context lasts."""
