--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 	APRICOT_EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest --numprocesses 2 \
 		platform/tests/test_fuzz_formats.py \
 		platform/tests/test_fuzz_hosts.py tests/test_fuzz_gateway.py
-EXAMPLES ?= 20000
+EXAMPLES ?= 40000
 
 # Every fault at every step; writes matrix-output/MATRIX.md.
 .PHONY: matrix
