Tie readers to the report of bad input without methods of their own

Cause: the gateway had a method for each source that only added the time.

Change: readers pass the time, as the mesh did; no behaviour changes.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -155,7 +155,9 @@
             self._find_fetch_time,
             self._spread,
         )
-        self._exchange.on_unreadable = self._note_peer
+        self._exchange.on_unreadable = functools.partial(
+            self._foreign.report, foreigninput.Source.PEER
+        )
         state_port = config.state.port
         self._mesh = mesh.Mesh(
             config.host,
@@ -209,7 +211,9 @@
             find_group_part=self._find_group_part,
             is_stopping=lambda: self._is_stopping,
             on_change=self._mesh.tell,
-            on_garbled=self._note_garbled,
+            on_garbled=functools.partial(
+                self._foreign.report, foreigninput.Source.ANSWER
+            ),
             habits=habits.Habits(),
         )
         self._listener = listener.Listener(
@@ -537,16 +541,6 @@
         self._quotas.forget(state.incarnation)
         self._freshness.forget(state.host)
 
-    def _note_peer(self, peer: str, detail: str) -> None:
-        self._foreign.report(
-            foreigninput.Source.PEER, peer, detail, clocks.read_monotonic()
-        )
-
-    def _note_garbled(self, runner: ids.Runner, detail: str) -> None:
-        self._foreign.report(
-            foreigninput.Source.ANSWER, runner, detail, clocks.read_monotonic()
-        )
-
     # Runners.
 
     async def _pump_forever(self) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
@@ -17,6 +17,7 @@
 import eliot
 
 from apricotlanding import addresses
+from apricotlanding import clocks
 from apricotlanding import codec
 from apricotlanding import errors
 from apricotlanding import frames
@@ -43,9 +44,9 @@
         self._board = board
         # Called with the peer's address and the reason for each question or
         # reply that cannot be used. Filled in by the daemon.
-        self.on_unreadable: collections.abc.Callable[[str, str], None] = (
-            lambda peer, detail: None
-        )
+        self.on_unreadable: collections.abc.Callable[
+            [str, str, float], None
+        ] = lambda peer, detail, now: None
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Answer one peer's question."""
@@ -59,7 +60,7 @@
                 await link.send(messages.registry.pack(page))
         except errors.Refused as error:
             host = stream.extra(anyio.abc.SocketAttribute.remote_address)[0]
-            self.on_unreadable(str(host), str(error))
+            self.on_unreadable(str(host), str(error), clocks.read_monotonic())
         except frames.CONNECTION_ERRORS as error:
             eliot.log_message('gateway:bad_query', detail=repr(error))
         finally:
@@ -71,7 +72,9 @@
             with anyio.fail_after(timeout):
                 page = await self._ask(address)
         except errors.Refused as error:
-            self.on_unreadable(str(address), str(error))
+            self.on_unreadable(
+                str(address), str(error), clocks.read_monotonic()
+            )
             return False
         except frames.CONNECTION_ERRORS as error:
             eliot.log_message(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -110,7 +110,7 @@
     is_stopping: collections.abc.Callable[[], bool]
     on_change: collections.abc.Callable[[], None]
     # Called with each answer that is none, and the reason.
-    on_garbled: collections.abc.Callable[[ids.Runner, str], None]
+    on_garbled: collections.abc.Callable[[ids.Runner, str, float], None]
     habits: habits.Habits
 
 
@@ -469,7 +469,8 @@
         except (webclient.Broken, streams.OutOfOrder, _Silent) as error:
             self._detail = repr(error)
             if isinstance(error, (webclient.Garbled, streams.OutOfOrder)):
-                self._parts.on_garbled(entry.id, str(error))
+                now = clocks.read_monotonic()
+                self._parts.on_garbled(entry.id, str(error), now)
             self._note_bad(entry, is_reached=True)
             return _End.FAILED
 
