Show how many calls a store with leaping offsets costs

Cause: read from the code. A read that brings nothing and does not wait is followed by the next one at once: when the newest records are older than the first that is kept, or the end of the log lies before what was read.

Change: tests alone.

--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -135,3 +135,58 @@
         calls, position = self.play([''] * 30, 0.01)
         self.assertEqual(30, position)
         self.assertLessEqual(calls, 10)
+
+
+class LeapingStore(QuietStore):
+    """A store that answers at once, and whose offsets make no sense."""
+
+    def __init__(self, is_gone: bool) -> None:
+        super().__init__()
+        self.is_gone = is_gone
+
+    async def read_newest(self, topic: dialect.Topic) -> dialect.Batch:
+        self.calls += 1
+        await anyio.sleep(0)
+        return dialect.Batch((), 5)
+
+    async def read_from(
+        self, topic: dialect.Topic, offset: int
+    ) -> dialect.Batch:
+        self.calls += 1
+        await anyio.sleep(0)
+        if self.is_gone:
+            raise dialect.HistoryGone
+        return dialect.Batch((), offset)
+
+
+class TestLeapingOffsets(testtools.TestCase):
+    """Reads that bring nothing and do not wait."""
+
+    def count_calls(self, is_gone: bool) -> int:
+        store = LeapingStore(is_gone)
+        reader = records.StoreReader(
+            dialect.CONFIG,
+            store,
+            records.Board(),
+            lambda: True,
+            lambda now: None,
+            random.Random(1),
+        )
+
+        async def read() -> None:
+            with anyio.move_on_after(1.0):
+                await reader.run()
+
+        anyio.run(read)
+        return store.calls
+
+    def test_history_that_is_always_gone(self) -> None:
+        # The store turns every host away: one of them makes all the calls
+        # that there may be. The newest records were older than the first
+        # that is kept, so each read sent the reader back to them at once.
+        self.assertLess(self.count_calls(is_gone=True), 30)
+
+    def test_reads_that_do_not_wait(self) -> None:
+        # As above: the end of the log lay before what the host had read, and
+        # the store answered at once instead of waiting for a record.
+        self.assertLess(self.count_calls(is_gone=False), 30)
