Pause after a read that brought nothing and did not wait

Ruled out: taking it for a lost store. Its delays would do, but registrations that end just then would count as lapsed.

Conclusion: a read that waited at the store is followed at once as before.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -102,6 +102,8 @@
             group.cancel_scope.cancel()
 
     async def _read_on(self, wait_s: float) -> None:
+        began_at = clocks.read_monotonic()
+        position = self._board.positions[self._topic]
         try:
             await self._read(wait_s)
         except dialect.StoreUnavailable as error:
@@ -112,6 +114,15 @@
         self._note_heard(clocks.read_monotonic())
         if self._had_records:
             await anyio.sleep(BATCH_PAUSE)
+            return
+        if self._board.positions[self._topic] != position:
+            return
+        # A read that brings nothing has waited at the store. If it has not,
+        # the offsets there make no sense to us (the end lies before what was
+        # read, or the newest records before the first that is kept), and
+        # asking again at once would use up the calls of all hosts.
+        passed = clocks.read_monotonic() - began_at
+        await anyio.sleep(max(0.0, BATCH_PAUSE - passed))
 
     def _find_wait(self, readers: freshness.Readers) -> float:
         limits = self._fresh.waits[self._topic]
