--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -7,9 +7,9 @@
 
 Whoever reaches a host's ports can send these, so types alone are not enough:
 a count below zero would give out places that a runner does not have, NaN in a
-total would end an allowance, and an offset beyond all others would keep a host
-from reading the store ever again. The fields state their bounds, and a message
-is taken as a whole or not at all.
+total would end an allowance, and an address that is none would be found out
+when half of the message has been used. The fields state their bounds, and a
+message is taken as a whole or not at all.
 """
 
 import dataclasses
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import testtools
 
 from apricotlanding import addresses
@@ -146,14 +147,14 @@
 
     async def read_newest(self, topic: dialect.Topic) -> dialect.Batch:
         self.calls += 1
-        await anyio.sleep(0)
+        await anyio.lowlevel.checkpoint()
         return dialect.Batch((), 5)
 
     async def read_from(
         self, topic: dialect.Topic, offset: int
     ) -> dialect.Batch:
         self.calls += 1
-        await anyio.sleep(0)
+        await anyio.lowlevel.checkpoint()
         if self.is_gone:
             raise dialect.HistoryGone
         return dialect.Batch((), offset)
