Join the checks of input with starts of runners and the store's reader

Tests and stand-ins that this joins: entries have all fields of a registration (one function makes them), a registration names a start, a peer has a time to hand records on, and reads say how long they wait. No check asks for less.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -470,7 +470,8 @@
             self._detail = repr(error)
             if isinstance(error, (webclient.Garbled, streams.OutOfOrder)):
                 now = clocks.read_monotonic()
-                self._parts.on_garbled(entry.id, str(error), now)
+                runner = ids.find_runner(entry.start)
+                self._parts.on_garbled(runner, str(error), now)
             self._note_bad(entry, is_reached=True)
             return _End.FAILED
 
--- a/tests/test_foreign_input.py
+++ b/tests/test_foreign_input.py
@@ -28,17 +28,19 @@
             runners.update(gatewayparts.make_entry(name))
         runners.note_outage(10.0)
         runners.remove(ids.Runner('r1'), 10.1)
-        self.assertTrue(runners.retract(ids.Runner('r2')))
+        self.assertTrue(runners.retract(ids.Runner('r2'), 10.1))
         found = runners.list_open(gatewayparts.POOL)
-        self.assertEqual(['r1'], [entry.id for entry in found])
-        self.assertFalse(runners.retract(ids.Runner('r2')))
+        self.assertEqual(
+            ['r1'], [ids.find_runner(entry.start) for entry in found]
+        )
+        self.assertFalse(runners.retract(ids.Runner('r2'), 10.1))
 
     def test_one_that_is_waited_for_is_out_too(self) -> None:
         runners = directory.Directory(2.0)
         runners.update(gatewayparts.make_entry('r1'))
         runners.note_outage(10.0)
         runners.remove(ids.Runner('r1'), 10.1)
-        runners.retract(ids.Runner('r1'))
+        runners.retract(ids.Runner('r1'), 10.1)
         self.assertEqual([], runners.list_open(gatewayparts.POOL))
         runners.expire(20.0)
 
--- a/tests/test_foreign_messages.py
+++ b/tests/test_foreign_messages.py
@@ -24,6 +24,8 @@
 
 # Seconds that any of this may take; generous, for machines that are busy.
 PATIENCE = 10.0
+# Seconds that a peer has to hand records on.
+FETCH_S = 2.0
 
 
 def make_state(**changes: ty.Any) -> messages.HostState:
@@ -162,7 +164,7 @@
                         )
                         await anyio.sleep(0.02)
                 self.assertEqual(['host-2'], list(found.peers))
-                self.assertEqual(2, found.count_running(ids.Runner('r1')))
+                self.assertEqual(2, found.count_running(ids.RunnerStart('r1')))
                 group.cancel_scope.cancel()
 
         anyio.run(scene)
@@ -225,7 +227,7 @@
                 board = records.Board()
                 with anyio.fail_after(PATIENCE):
                     asker = recordexchange.RecordExchange(board)
-                    self.assertTrue(await asker.fetch(place))
+                    self.assertTrue(await asker.fetch(place, FETCH_S))
                 self.assertEqual(1, board.positions[dialect.RUNNERS])
                 group.cancel_scope.cancel()
 
@@ -267,6 +269,6 @@
         async with listener, anyio.create_task_group() as group:
             group.start_soon(listener.serve, reply)
             with anyio.fail_after(PATIENCE):
-                is_taken = await asker.fetch(place)
+                is_taken = await asker.fetch(place, FETCH_S)
             group.cancel_scope.cancel()
         return is_taken
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -140,7 +140,7 @@
             host.take(state, now)
             self.check_state(state)
         host.drop_silent(now)
-        self.assertGreaterEqual(host.count_running(ids.Runner('r1')), 0)
+        self.assertGreaterEqual(host.count_running(ids.RunnerStart('r1')), 0)
         self.assertTrue(0 <= host.find_silent_share() < 1)
         for rank in host.list_waiting(ids.Pool('pool')):
             self.assertTrue(math.isfinite(rank.on_time_by))
@@ -286,7 +286,7 @@
         stream = ScriptedStream(data)
         client = runnerclient.RunnerClient(addresses.Address('10.0.0.9', 1))
         connection = runnerclient._Connection(
-            ty.cast(anyio.abc.SocketStream, stream)
+            ty.cast(anyio.abc.SocketStream, stream), 0.0
         )
 
         async def connect() -> runnerclient._Connection:
--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -151,7 +151,7 @@
         return dialect.Batch((), 5)
 
     async def read_from(
-        self, topic: dialect.Topic, offset: int
+        self, topic: dialect.Topic, offset: int, wait_s: float
     ) -> dialect.Batch:
         self.calls += 1
         await anyio.lowlevel.checkpoint()
@@ -165,12 +165,17 @@
 
     def count_calls(self, is_gone: bool) -> int:
         store = LeapingStore(is_gone)
-        reader = records.StoreReader(
+        board = records.Board()
+        reader = storereader.StoreReader(
             dialect.CONFIG,
             store,
-            records.Board(),
-            lambda: True,
+            board,
+            freshness.Freshness(board, {dialect.CONFIG: BOUND_S}),
+            lambda: freshness.Readers((), ids.Host('host-a'), True),
+            lambda now: None,
             lambda now: None,
+            lambda: None,
+            anyio.Lock(),
             random.Random(1),
         )
 
--- a/tests/test_gateway_starts.py
+++ b/tests/test_gateway_starts.py
@@ -438,7 +438,16 @@
     """The birth that a runner registers."""
 
     def decode(self, **more: object) -> dialect.RunnerEntry:
-        plain = {'service': 'pool', 'address': '127.0.0.1:1'} | more
+        plain = {
+            'service': 'pool',
+            'address': '127.0.0.1:1',
+            'zone': 'd1',
+            'version': 'v1',
+            'slots': 4,
+            'state': 'ready',
+            'coldLeftMs': 0,
+            'seq': 1,
+        } | more
         return registrations.decode_runner('r1', json.dumps(plain).encode())
 
     def test_birth_is_part_of_the_identity(self) -> None:
