Keep a block of ports while a process that was started in it lives

The guard of a block belonged to the starter alone. Change: processes that tests start inherit the guards of their starter, so that no later run chooses ports that a left-over process still calls.

--- a/packages/apricotstandins/src/apricotstandins/processes.py
+++ b/packages/apricotstandins/src/apricotstandins/processes.py
@@ -20,7 +20,10 @@
 _LAST_PORT = 32_000
 # Ports are handed out in blocks. A process keeps the first port of its block
 # bound for as long as it lives, so that tests which run side by side never
-# choose the same ports.
+# choose the same ports. The processes that it starts inherit that socket: if
+# a test run is killed they live on and keep calling the addresses of those
+# that ended, and a stand-in of the next run would read their messages. The
+# block is free again when the last of them has ended.
 _BLOCK = 100
 _guards: list[socket.socket] = []
 _free: list[int] = []
@@ -90,6 +93,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=file,
                 stderr=file,
+                pass_fds=[guard.fileno() for guard in _guards],
             )
 
     @property
