Test allowances while hosts restart one after another

Each of six restarts brought half a bucket that peers had handed out already, and peers with empty buckets left out what a new process had handed out before they heard it. Change: a test of seven hosts, each restarted in turn, without a network.

--- /dev/null
+++ b/tests/test_gateway_allowances.py
@@ -0,0 +1,91 @@
+"""Allowances while hosts restart one after another, without a network."""
+
+import dataclasses
+
+import testtools
+
+from apricotlanding import ids
+from apricotlandingd.gateway.decisions import quotas
+import gatewayparts
+
+ORGANISATION = gatewayparts.make_organisation(2000.0)
+COST = 200.0
+SLACK = 2000.0
+HOSTS = 7
+# The operators' window, seconds, and what may run in it.
+WINDOW_S = 8.0
+ALLOWED = (2000.0 * WINDOW_S + 2000.0) * 1.1 + SLACK
+STEP_S = 0.01
+# Seconds between two messages of a host.
+TELL_S = 0.05
+# When the first host stops, until the next one does, and how long each is
+# away; seconds.
+FIRST_STOP = 3.0
+STOP_INTERVAL = 1.0
+AWAY_S = 0.45
+
+
+@dataclasses.dataclass
+class Host:
+    number: int
+    # Full buckets: these hosts have run for a while.
+    buckets: quotas.Quotas = dataclasses.field(
+        default_factory=lambda: quotas.Quotas(SLACK, -100.0)
+    )
+    started_at: float = -100.0
+
+    def start(self, now: float) -> None:
+        self.buckets = quotas.Quotas(SLACK, now)
+        self.started_at = now
+
+    def find_incarnation(self) -> ids.Incarnation:
+        return ids.Incarnation(f'{self.number}/{self.started_at}')
+
+    def is_away(self, now: float) -> bool:
+        stopped_at = FIRST_STOP + STOP_INTERVAL * self.number
+        return stopped_at <= now < stopped_at + AWAY_S
+
+
+class TestRollingRestart(testtools.TestCase):
+    """An organisation asks every host for many times its allowance."""
+
+    def test_allowance_is_handed_out_once(self) -> None:
+        # An organisation ran more than its allowance and all slack. Each host
+        # in turn was stopped and came back with half a bucket, which its
+        # peers had handed out already; and the peers, whose buckets were
+        # empty, did not count what it handed out before they heard it first.
+        runs = self.play()
+        most = max(
+            sum(COST for other in runs if at <= other <= at + WINDOW_S)
+            for at in runs
+        )
+        self.assertLessEqual(most, ALLOWED)
+
+    def play(self) -> list[float]:
+        """Return when the requests ran."""
+        hosts = [Host(number) for number in range(HOSTS)]
+        gone: set[int] = set()
+        runs: list[float] = []
+        for step in range(1500):
+            now = step * STEP_S
+            here = [host for host in hosts if not host.is_away(now)]
+            for host in hosts:
+                if host.is_away(now):
+                    gone.add(host.number)
+                elif host.number in gone:
+                    gone.remove(host.number)
+                    host.start(now)
+            for host in here:
+                if host.buckets.take(ORGANISATION, COST, 0.0, now) is None:
+                    runs.append(now)
+            if step % round(TELL_S / STEP_S) == 0:
+                self.tell(here, now)
+        return runs
+
+    def tell(self, hosts: list[Host], now: float) -> None:
+        """Let each host hear the totals of all others."""
+        for host in hosts:
+            for peer in hosts:
+                if peer is not host:
+                    usage = dict(peer.buckets.usage)
+                    host.buckets.hear(peer.find_incarnation(), usage, now)
