Hand out an allowance once while hosts restart in turn

Change: (1) the part of a bucket that a process assumes at its start goes once it hears a peer that handed out as much: that peer ran before, and the bucket stands where it left it. Assumed units that time would have brought anyway stay. (2) The first total of a peer's new process counts up to a first part below an empty bucket; before, an empty bucket did not count it at all.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -55,13 +55,23 @@
     # Most that it holds, and what it gains a second.
     size: float = 0.0
     rate: float = 0.0
+    # Units of the level that were only assumed at the start.
+    assumed: float = 0.0
 
     def refill(self, now: float) -> None:
         passed = max(0.0, now - self.updated_at)
-        # A new version may have lowered the size: what is above is lost.
-        self.level = min(self.size, self.level + passed * self.rate)
+        level = self.level + passed * self.rate
+        # A new version may have lowered the size: what is above is lost. By
+        # now that much would be there without the assumption.
+        lost = max(0.0, level - self.size)
+        self.assumed = max(0.0, self.assumed - lost)
+        self.level = level - lost
         self.updated_at = now
 
+    def drop_assumed(self) -> None:
+        self.level -= self.assumed
+        self.assumed = 0.0
+
 
 @ty.final
 class Quotas:
@@ -172,10 +182,19 @@
             bucket.refill(now)
             if before is not None:
                 bucket.level -= total - before.get(name, 0.0)
-            elif now - self._started_at > YOUNG:
+            elif now - self._started_at <= YOUNG:
+                # Its totals are of the past. But a peer that has handed out
+                # as much was there before this process: nobody restarted all
+                # hosts at once, and the bucket that they share stands where
+                # they left it. Rolling restarts within the operators' window
+                # would else add a first part each.
+                if total >= bucket.assumed:
+                    bucket.drop_assumed()
+            else:
                 # A process that has just started, or that was not heard for
                 # long: it may have handed all of this out just now.
-                bucket.level -= min(total, max(0.0, bucket.level))
+                first = bucket.size * FIRST_PART
+                bucket.level -= min(total, max(0.0, bucket.level) + first)
 
     def forget(self, peer: ids.Incarnation) -> None:
         """Drop what is kept about a process that has ended."""
@@ -213,7 +232,7 @@
             # Of the first units, too, silent hosts have their share: hosts
             # that start cut off from each other would hand them out once each.
             first = size * FIRST_PART * (1 - silent_share)
-            bucket = _Bucket(first, self._started_at)
+            bucket = _Bucket(first, self._started_at, assumed=first)
             self._buckets[organisation.name] = bucket
         bucket.size = size
         rate = organisation.units_per_s * group_part
