--- a/Makefile
+++ b/Makefile
@@ -55,10 +55,11 @@
 
 # Randomized faults against real processes, with fresh seeds.
 SEEDS ?= 50
+PLAN ?= wide
 .PHONY: soak
 soak: .venv/installed
 	PYTHONPATH=platform/tests:tests $(BIN)/python \
-		platform/tests/run_soak.py --seeds $(SEEDS)
+		platform/tests/run_soak.py --seeds $(SEEDS) --plan $(PLAN)
 
 # The slopes of docs/CAPACITY.md, and the comparison of policies.
 .PHONY: capacity compare
--- a/packages/apricotstandins/src/apricotstandins/tcprelay.py
+++ b/packages/apricotstandins/src/apricotstandins/tcprelay.py
@@ -3,7 +3,9 @@
 One process relays any number of routes, each from a listening address to a
 target. ``POST /standin/routes`` sets the faults of some of them. A route that
 is cut keeps its connections and what was sent: after the cut everything
-arrives, late, as it does when a network heals.
+arrives, late, as it does when a network heals. A route that is silent takes
+connections and bytes and passes nothing on; a connection that met this stays
+silent for good, while new ones work after it.
 """
 
 import dataclasses
@@ -35,6 +37,7 @@
     # What goes wrong now, by direction.
     is_cut_forward: bool = False
     is_cut_back: bool = False
+    is_silent: bool = False
     # Added to each part, in seconds.
     delay_s: float = 0.0
     healed: anyio.Event = dataclasses.field(default_factory=anyio.Event)
@@ -44,6 +47,7 @@
     def change(self, faults: dict[str, ty.Any]) -> None:
         self.is_cut_forward = faults.get('cut_forward', False)
         self.is_cut_back = faults.get('cut_back', False)
+        self.is_silent = faults.get('silent', False)
         self.delay_s = faults.get('delay_s', 0.0)
         healed, self.healed = self.healed, anyio.Event()
         healed.set()
@@ -105,9 +109,14 @@
                     )
                 except OSError:
                     return
+                muted = anyio.Event()
                 async with far, anyio.create_task_group() as group:
-                    group.start_soon(_pump, route, near, far, True, group)
-                    group.start_soon(_pump, route, far, near, False, group)
+                    group.start_soon(
+                        _pump, route, near, far, True, muted, group
+                    )
+                    group.start_soon(
+                        _pump, route, far, near, False, muted, group
+                    )
                     group.start_soon(_wait_reset, route, near, far, group)
 
         return handle
@@ -131,11 +140,17 @@
     source: anyio.abc.ByteStream,
     sink: anyio.abc.ByteStream,
     is_forward: bool,
+    muted: anyio.Event,
     group: anyio.abc.TaskGroup,
 ) -> None:
     try:
         while True:
             part = await source.receive(_PART)
+            if route.is_silent:
+                # What follows would otherwise look like the rest of it.
+                muted.set()
+            if muted.is_set():
+                continue
             if route.delay_s > 0.0:
                 await anyio.sleep(route.delay_s)
             await route.pass_cut(is_forward)
