Test that a peer's use counts before the first request here

Cause: what peers said of an organisation that this host had not been asked for was left out, and its bucket began full, or filled since the process started. Soak (series): 23,800 units in 8 s, 21,800 are allowed; a host that had started 0.9 s before ran 21 requests of 200 units in a second.

--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -279,6 +279,23 @@
         self.quotas.hear(peer, {FESTIN.name: 100.0}, 10.0)
         self.assertFalse(self.take(50, 10.0))
 
+    def test_use_of_a_peer_counts_before_the_first_request(self) -> None:
+        # Two hosts handed out the same burst. An organisation had only asked
+        # the other one; this one, which is asked for the first time, took its
+        # bucket to be full.
+        peer = ids.Incarnation('other/1')
+        self.quotas.hear(peer, {FESTIN.name: 0.0}, 9.0)
+        self.quotas.hear(peer, {FESTIN.name: 60.0}, 10.0)
+        self.quotas.hear(peer, {FESTIN.name: 100.0}, 10.1)
+        self.assertFalse(self.take(20, 10.1))
+        self.assertTrue(self.take(10, 10.1))
+
+    def test_bucket_fills_again_before_the_first_request(self) -> None:
+        peer = ids.Incarnation('other/1')
+        self.quotas.hear(peer, {FESTIN.name: 0.0}, 9.0)
+        self.quotas.hear(peer, {FESTIN.name: 100.0}, 10.0)
+        self.assertTrue(self.take(100, 11.0))
+
     def test_hosts_that_hear_nobody_hand_out_the_rate_once(self) -> None:
         # Four hosts, each cut off from the three others.
         hosts = [quotas.Quotas(0.0, 0.0) for _ in range(4)]
