Count what peers handed out of a bucket before its first request here

Ruled out: creating buckets when a peer is heard: their rate and size come with a request only. Change: what peers say of an organisation without a bucket is kept in steps of a quarter of a second, 32 of them, and counted when the bucket is made. What a peer's total tells is a type.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -14,7 +14,9 @@
 large system each have their part of it (``groupuses``).
 """
 
+import collections
 import dataclasses
+import enum
 import math
 import typing as ty
 
@@ -40,12 +42,37 @@
 # Seconds for which the largest request of an organisation counts: as long as a
 # caller that was refused takes to come back, and to be gone.
 LARGEST_TIME = 10.0
+# What peers hand out of a bucket that nobody here has asked for is kept in
+# steps of so many seconds, and so many of them: eight seconds, in which most
+# buckets are full again.
+KEPT_INTERVAL = 0.25
+KEPT_USES = 32
 # Units by organisation.
 Usage = dict[ids.Organisation, float]
 # Shortest time after which a refused caller is asked to come back, seconds.
 SHORTEST_RETURN = 0.2
 
 
+class _Sign(enum.Enum):
+    # What a peer's total tells.
+
+    # The peer handed this out since it was heard last.
+    MORE = 'more'
+    # All of a process that started lately, or was not heard for long.
+    FIRST = 'first'
+    # All of a process that ran before this one started.
+    PAST = 'past'
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Use:
+    # When it was heard.
+    at: float
+    units: float
+    sign: _Sign
+
+
 @ty.final
 @dataclasses.dataclass(slots=True)
 class _Bucket:
@@ -68,9 +95,24 @@
         self.level = level - lost
         self.updated_at = now
 
-    def drop_assumed(self) -> None:
-        self.level -= self.assumed
-        self.assumed = 0.0
+    def count(self, use: '_Use') -> None:
+        # Filled up to then first: a bucket that nobody here has asked for a
+        # while would else be filled after the peer's use is taken out, and
+        # that use would be lost.
+        self.refill(use.at)
+        if use.sign is _Sign.MORE:
+            self.level -= use.units
+        elif use.sign is _Sign.FIRST:
+            # It may have handed all of this out just now.
+            first = self.size * FIRST_PART
+            self.level -= min(use.units, max(0.0, self.level) + first)
+        elif use.units >= self.assumed:
+            # A peer that has handed out as much was there before this
+            # process: nobody restarted all hosts at once, and the bucket that
+            # they share stands where they left it. Rolling restarts within
+            # the operators' window would else add a first part each.
+            self.level -= self.assumed
+            self.assumed = 0.0
 
 
 @ty.final
@@ -90,6 +132,8 @@
         self._slack = 0.0
         self.set_slack(slack_units)
         self._buckets: dict[ids.Organisation, _Bucket] = {}
+        # What peers handed out of buckets that do not exist here yet.
+        self._kept: dict[ids.Organisation, collections.deque[_Use]] = {}
         # What this process handed out.
         self.usage: Usage = {}
         # Units asked for a second, when they were counted.
@@ -172,29 +216,32 @@
         """Take out what a peer handed out since it was heard last."""
         before = self._heard.get(peer)
         self._heard[peer] = usage
+        sign = _Sign.MORE
+        if before is None:
+            is_young = now - self._started_at <= YOUNG
+            sign = _Sign.PAST if is_young else _Sign.FIRST
         for name, total in usage.items():
-            bucket = self._buckets.get(name)
-            if bucket is None or (before and before.get(name) == total):
+            units = total - (before.get(name, 0.0) if before else 0.0)
+            if units == 0.0:
                 continue
-            # Filled up to now first: a bucket that nobody here has asked for
-            # a while would else be filled after the peer's use is taken out,
-            # and that use would be lost.
-            bucket.refill(now)
-            if before is not None:
-                bucket.level -= total - before.get(name, 0.0)
-            elif now - self._started_at <= YOUNG:
-                # Its totals are of the past. But a peer that has handed out
-                # as much was there before this process: nobody restarted all
-                # hosts at once, and the bucket that they share stands where
-                # they left it. Rolling restarts within the operators' window
-                # would else add a first part each.
-                if total >= bucket.assumed:
-                    bucket.drop_assumed()
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                self._keep(name, _Use(now, units, sign))
             else:
-                # A process that has just started, or that was not heard for
-                # long: it may have handed all of this out just now.
-                first = bucket.size * FIRST_PART
-                bucket.level -= min(total, max(0.0, bucket.level) + first)
+                bucket.count(_Use(now, units, sign))
+
+    def _keep(self, name: ids.Organisation, use: '_Use') -> None:
+        # The bucket's rate and size are known with the first request here.
+        kept = self._kept.setdefault(name, collections.deque(maxlen=KEPT_USES))
+        last = kept[-1] if kept else None
+        if (
+            last is not None
+            and last.sign is use.sign is _Sign.MORE
+            and use.at - last.at < KEPT_INTERVAL
+        ):
+            kept[-1] = _Use(last.at, last.units + use.units, use.sign)
+            return
+        kept.append(use)
 
     def forget(self, peer: ids.Incarnation) -> None:
         """Drop what is kept about a process that has ended."""
@@ -237,5 +284,7 @@
         bucket.size = size
         rate = organisation.units_per_s * group_part
         bucket.rate = rate * (1 - silent_share)
+        for use in self._kept.pop(organisation.name, ()):
+            bucket.count(use)
         bucket.refill(now)
         return bucket
