--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -57,9 +57,9 @@
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import storereader
 from apricotlandingd.gateway.replication import waits
-from apricotlandingd.gateway.requests import exchange
 from apricotlandingd.gateway.requests import habits
 from apricotlandingd.gateway.requests import listener
+from apricotlandingd.gateway.requests import parts
 from apricotlandingd.gateway.requests import runnerclients
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
@@ -195,7 +195,7 @@
             self._mesh,
             self._spread,
         )
-        parts = exchange.Parts(
+        shared = parts.Parts(
             spoken=self._dialect,
             quotas=self._quotas,
             second_sends=self._second_sends,
@@ -217,7 +217,7 @@
             habits=habits.Habits(),
         )
         self._listener = listener.Listener(
-            parts,
+            shared,
             config.readiness,
             config.metrics,
             self.is_ready,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/__init__.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/__init__.py
@@ -1,6 +1,8 @@
 """A request's way: from the caller's connection to a runner's and back.
 
-``listener`` takes it, ``exchange`` leads it from its head to its final
-answer, ``runnerclient`` and ``streams`` speak with the runner, ``replies``
-with the caller. ``habits`` remembers what requests of a route are like.
+``listener`` takes it, ``admission`` lets it in, ``exchange`` leads it to its
+final answer; ``runnerclients``, ``runnerclient`` and ``streams`` speak with
+the runner, ``silence`` tells when to leave it, ``replies`` speaks with the
+caller. ``habits`` remembers what requests of a route are like; ``parts`` is
+what all requests share.
 """
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -0,0 +1,147 @@
+"""What a caller asks for, and whether it is let in.
+
+Route, organisation and allowance are found before anything is sent or waits;
+each refusal here says "not run". ``exchange`` leads on from what stands here.
+"""
+
+import typing as ty
+
+import eliot
+
+from apricotlanding import asgi
+from apricotlanding import clocks
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.requests import parts
+
+__all__ = ['SOON', 'Admission']
+
+# Seconds after which callers whose request met no configuration or no
+# runner should come back.
+SOON = 0.5
+
+
+@ty.final
+class Admission:
+    """One request as its caller sent it."""
+
+    def __init__(self, shared: parts.Parts, scope: asgi.Scope) -> None:
+        """Take the request line; ``admit`` reads the rest."""
+        self._parts = shared
+        self.arrived_at = clocks.read_monotonic()
+        self.method: str = scope['method']
+        self.target = _find_target(scope)
+        self.body = b''
+        self.head = _make_nameless_head()
+        self.route: catalogue.Route
+        # '' until the route is known.
+        self.service = ids.Pool('')
+        self.organisation: catalogue.Organisation | None = None
+        # Units taken from the organisation's allowance.
+        self.cost = 0.0
+        self.event_tokens = 1.0
+        # Of the configuration that the request was admitted under.
+        self.version: ids.Version | None = None
+        # Seconds that the caller gives, and when its time or its route's ends.
+        self.given_s = 0.0
+        self.limit_at = 0.0
+
+    def give_back(self) -> None:
+        """Return what was taken from the allowance: nothing has run."""
+        if self.organisation is not None and self.cost > 0:
+            self._parts.quotas.give_back(self.organisation, self.cost)
+            self.cost = 0.0
+
+    async def admit(
+        self, headers: dialect.HeaderList, receive: asgi.Receive
+    ) -> errors.Problem | None:
+        """Read the request; the problem if it is not let in.
+
+        Raises asgi.Disconnected if the caller leaves before it has arrived.
+        """
+        try:
+            head = self._parts.spoken.read_request(
+                self.method, self.target, headers
+            )
+        except dialect.Unreadable as error:
+            return errors.make_problem(errors.Kind.BAD_HEAD, detail=str(error))
+        if head is None:
+            return errors.make_problem(errors.Kind.NO_ATTEMPT)
+        self.head = head
+        config = self._parts.find_catalogue()
+        if config is None:
+            return errors.make_problem(errors.Kind.NO_CONFIGURATION, SOON)
+        self.version = config.version
+        path = self.target.partition('?')[0]
+        route = config.find_route(head.hostname, path)
+        if route is None:
+            return errors.make_problem(
+                errors.Kind.NO_ROUTE, path=path, hostname=head.hostname
+            )
+        self.route = route
+        self.service = route.find_service(head.attempt)
+        service = config.services.get(self.service)
+        if service is not None:
+            self.event_tokens = service.event_tokens
+        holder = config.holders.get(head.key or '')
+        if holder is None and not route.is_public:
+            return errors.make_problem(errors.Kind.UNKNOWN_KEY)
+        self.organisation = holder
+        try:
+            self.body = await asgi.read_body(receive, config.limits.body_bytes)
+        except asgi.BodyTooLarge:
+            return errors.make_problem(
+                errors.Kind.BODY_TOO_LARGE, limit=config.limits.body_bytes
+            )
+        return self._admit_by_time(clocks.read_monotonic())
+
+    def _admit_by_time(self, now: float) -> errors.Problem | None:
+        deadline = self.head.deadline_s
+        self.given_s = self.route.timeout_s if deadline is None else deadline
+        limit = min(self.given_s, self.route.timeout_s)
+        self.limit_at = self.arrived_at + limit
+        self._parts.habits.note_given(self.route.name, self.given_s)
+        self._parts.second_sends.note_request(self.service, now)
+        holder = self.organisation
+        if holder is None:
+            return None
+        tokens = None
+        if self.head.has_tokens:
+            tokens = self.head.prompt_tokens + self.head.output_tokens
+        cost = self._parts.quotas.find_cost(holder, tokens)
+        silent_share = self._parts.find_silent_share()
+        group_part = self._parts.find_group_part(holder, now)
+        wait = self._parts.quotas.take(
+            holder, cost, silent_share, now, group_part
+        )
+        if wait is not None:
+            eliot.log_message(
+                'gateway:over_allowance',
+                attempt=self.head.attempt,
+                organisation=holder.name,
+                cost=cost,
+                wait_s=round(wait, 3),
+                silent_share=round(silent_share, 3),
+                group_part=round(group_part, 3),
+                version=self.version,
+            )
+            return errors.make_problem(
+                errors.Kind.OVER_ALLOWANCE, wait, organisation=holder.name
+            )
+        self.cost = cost
+        return None
+
+
+def _find_target(scope: asgi.Scope) -> str:
+    target: bytes = scope['raw_path']
+    if scope['query_string']:
+        target = target + b'?' + scope['query_string']
+    return target.decode('latin-1')
+
+
+def _make_nameless_head() -> dialect.RequestHead:
+    return dialect.RequestHead(
+        '', '', None, None, 0, 0, None, False, (), '', ()
+    )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -17,9 +17,7 @@
 
 import collections.abc
 import contextlib
-import dataclasses
 import enum
-import math
 import typing as ty
 
 import anyio
@@ -29,24 +27,18 @@
 from apricotlanding import clocks
 from apricotlanding import errors
 from apricotlanding import ids
-from apricotlanding import retrybudget
 from apricotlanding import taskgroups
 from apricotlanding import webclient
-from apricotlandingd.gateway import catalogue
-from apricotlandingd.gateway.decisions import quotas
-from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
-from apricotlandingd.gateway.process import measures
-from apricotlandingd.gateway.requests import habits
+from apricotlandingd.gateway.requests import admission
+from apricotlandingd.gateway.requests import parts
 from apricotlandingd.gateway.requests import replies
 from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.requests import silence
 from apricotlandingd.gateway.requests import streams
-from apricotlandingd.gateway.runners import directory
-from apricotlandingd.gateway.runners import health
-from apricotlandingd.gateway.runners import pace
 
-__all__ = ['Exchange', 'Parts']
+__all__ = ['Exchange']
 
 # Seconds past a request's limit in which the runner's own answer about the
 # timeout may still arrive.
@@ -54,19 +46,6 @@
 # Largest answer that is held back until it is whole, so that a broken one
 # can be had from another runner; larger ones are passed on as they come.
 HELD_BYTES = 256 * 1024
-# A repeatable request leaves a runner that has not begun to answer after
-# this many times the expected time, and not before this many seconds.
-SILENCE_FACTOR = 4.0
-SILENCE_AT_LEAST = 0.6
-# Nor before this many times the objective: the engines' batches are busiest
-# when all first events are slow, and leaving then only adds to the load.
-SILENCE_OBJECTIVES = 1.5
-# A stream leaves a runner after this many times the pause that callers want.
-GAP_FACTOR = 3.0
-GAP_AT_LEAST = 0.8
-# Seconds after which callers whose request met no configuration or no
-# runner should come back.
-SOON = 0.5
 # Objectives for which a request may wait. What waits for longer is late for
 # its caller and in the way of those that are not.
 PATIENCE_OBJECTIVES = 1.0
@@ -80,72 +59,23 @@
     FAILED = 'failed'
 
 
-class _Silent(Exception):
-    """The runner says nothing, and another one may do the work."""
-
-
-@ty.final
-@dataclasses.dataclass(slots=True)
-class Parts:
-    """What all exchanges of a daemon share."""
-
-    spoken: dialect.Dialect
-    quotas: quotas.Quotas
-    second_sends: retrybudget.RetryBudget
-    scheduler: scheduler.Scheduler
-    directory: directory.Directory
-    health: health.Health
-    paces: pace.Paces
-    measures: measures.Measures
-    find_catalogue: collections.abc.Callable[[], catalogue.Catalogue | None]
-    find_client: collections.abc.Callable[
-        [dialect.RunnerEntry], runnerclient.RunnerClient
-    ]
-    count_hosts: collections.abc.Callable[[], int]
-    find_silent_share: collections.abc.Callable[[], float]
-    # Part of an organisation's allowance that is for this host's group.
-    find_group_part: collections.abc.Callable[
-        [catalogue.Organisation, float], float
-    ]
-    is_stopping: collections.abc.Callable[[], bool]
-    on_change: collections.abc.Callable[[], None]
-    # Called with each answer that is none, and the reason.
-    on_garbled: collections.abc.Callable[[ids.Runner, str, float], None]
-    habits: habits.Habits
-
-
 @ty.final
 class Exchange:
     """One request."""
 
     def __init__(
         self,
-        parts: Parts,
+        shared: parts.Parts,
         scope: asgi.Scope,
         receive: asgi.Receive,
         send: asgi.Send,
     ) -> None:
         """Take an ASGI request."""
-        self._parts = parts
+        self._parts = shared
         self._scope = scope
         self._receive = receive
-        self._reply = replies.Reply(send, parts.spoken, parts.is_stopping)
-        self._arrived_at = clocks.read_monotonic()
-        self._method: str = scope['method']
-        self._target = _find_target(scope)
-        self._body = b''
-        self._head = _make_nameless_head()
-        self._route: catalogue.Route
-        # '' until the route is known.
-        self._service = ids.Pool('')
-        self._organisation: catalogue.Organisation | None = None
-        self._cost = 0.0
-        self._event_tokens = 1.0
-        # Of the configuration that the request was admitted under.
-        self._version: ids.Version | None = None
-        # Seconds that the caller gives, and when its time or its route's ends.
-        self._given_s = 0.0
-        self._limit_at = 0.0
+        self._reply = replies.Reply(send, shared.spoken, shared.is_stopping)
+        self._asked = admission.Admission(shared, scope)
         # Runners that bytes of this request went to.
         self._sends = 0
         self._may_have_run = False
@@ -185,7 +115,9 @@
         self._work.cancel()
 
     async def _answer(self) -> None:
-        problem = await self._admit()
+        problem = await self._asked.admit(
+            self._scope['headers'], self._receive
+        )
         if problem is not None:
             await self._refuse(problem)
             return
@@ -200,83 +132,6 @@
         # Another host takes it at once.
         await self._refuse(errors.make_problem(errors.Kind.STOPPING, 0.0))
 
-    # Admitting.
-
-    async def _admit(self) -> errors.Problem | None:
-        try:
-            head = self._parts.spoken.read_request(
-                self._method, self._target, self._scope['headers']
-            )
-        except dialect.Unreadable as error:
-            return errors.make_problem(errors.Kind.BAD_HEAD, detail=str(error))
-        if head is None:
-            return errors.make_problem(errors.Kind.NO_ATTEMPT)
-        self._head = head
-        config = self._parts.find_catalogue()
-        if config is None:
-            return errors.make_problem(errors.Kind.NO_CONFIGURATION, SOON)
-        self._version = config.version
-        path = self._target.partition('?')[0]
-        route = config.find_route(head.hostname, path)
-        if route is None:
-            return errors.make_problem(
-                errors.Kind.NO_ROUTE, path=path, hostname=head.hostname
-            )
-        self._route = route
-        self._service = route.find_service(head.attempt)
-        service = config.services.get(self._service)
-        if service is not None:
-            self._event_tokens = service.event_tokens
-        holder = config.holders.get(head.key or '')
-        if holder is None and not route.is_public:
-            return errors.make_problem(errors.Kind.UNKNOWN_KEY)
-        self._organisation = holder
-        try:
-            self._body = await asgi.read_body(
-                self._receive, config.limits.body_bytes
-            )
-        except asgi.BodyTooLarge:
-            return errors.make_problem(
-                errors.Kind.BODY_TOO_LARGE, limit=config.limits.body_bytes
-            )
-        return self._admit_by_time(clocks.read_monotonic())
-
-    def _admit_by_time(self, now: float) -> errors.Problem | None:
-        deadline = self._head.deadline_s
-        self._given_s = self._route.timeout_s if deadline is None else deadline
-        limit = min(self._given_s, self._route.timeout_s)
-        self._limit_at = self._arrived_at + limit
-        self._parts.habits.note_given(self._route.name, self._given_s)
-        self._parts.second_sends.note_request(self._service, now)
-        holder = self._organisation
-        if holder is None:
-            return None
-        tokens = None
-        if self._head.has_tokens:
-            tokens = self._head.prompt_tokens + self._head.output_tokens
-        cost = self._parts.quotas.find_cost(holder, tokens)
-        silent_share = self._parts.find_silent_share()
-        group_part = self._parts.find_group_part(holder, now)
-        wait = self._parts.quotas.take(
-            holder, cost, silent_share, now, group_part
-        )
-        if wait is not None:
-            eliot.log_message(
-                'gateway:over_allowance',
-                attempt=self._head.attempt,
-                organisation=holder.name,
-                cost=cost,
-                wait_s=round(wait, 3),
-                silent_share=round(silent_share, 3),
-                group_part=round(group_part, 3),
-                version=self._version,
-            )
-            return errors.make_problem(
-                errors.Kind.OVER_ALLOWANCE, wait, organisation=holder.name
-            )
-        self._cost = cost
-        return None
-
     # Serving.
 
     async def _serve_until_gone(self) -> None:
@@ -294,7 +149,7 @@
                 return
 
     async def _serve_in_time(self) -> None:
-        left = self._limit_at - clocks.read_monotonic()
+        left = self._asked.limit_at - clocks.read_monotonic()
         with anyio.move_on_after(left + LIMIT_SLACK) as limit:
             await self._serve()
         if not limit.cancelled_caught:
@@ -302,7 +157,9 @@
         if self._may_have_run:
             await self._fail(errors.make_problem(errors.Kind.TIMED_OUT))
         else:
-            await self._refuse(errors.make_problem(errors.Kind.NO_PLACE, SOON))
+            await self._refuse(
+                errors.make_problem(errors.Kind.NO_PLACE, admission.SOON)
+            )
 
     async def _serve(self) -> None:
         while True:
@@ -320,14 +177,14 @@
             if not self._may_send_again(end, clocks.read_monotonic()):
                 break
         problem = errors.make_problem(
-            errors.Kind.NOT_TAKEN, SOON, detail=self._detail
+            errors.Kind.NOT_TAKEN, admission.SOON, detail=self._detail
         )
         await self._give_up(problem)
 
     def _may_send_again(self, end: _End, now: float) -> bool:
-        if end is _End.FAILED and not self._route.is_repeatable():
+        if end is _End.FAILED and not self._asked.route.is_repeatable():
             return False
-        if self._sends >= self._route.max_sends:
+        if self._sends >= self._asked.route.max_sends:
             return False
         if self._sends == 0:
             # Nothing has reached a runner: no second send.
@@ -373,33 +230,33 @@
         return ticket.decision
 
     def _make_ticket(self, now: float) -> waiting.Ticket:
-        route, head = self._route, self._head
-        usual = self._parts.paces.find_usual(self._service)
+        route, head = self._asked.route, self._asked.head
+        usual = self._parts.paces.find_usual(self._asked.service)
         first = usual.find_first(head.prompt_tokens)
         began = self._parts.habits.find_beginning(
-            route.name, self._given_s, self._arrived_at
+            route.name, self._asked.given_s, self._asked.arrived_at
         )
         on_time_by = began + route.objective_s - first
         useful_until = self._find_useful_end() - first
         tier = route.tier
-        if self._organisation is not None:
-            if self._organisation.tier is not None:
-                tier = self._organisation.tier
+        if self._asked.organisation is not None:
+            if self._asked.organisation.tier is not None:
+                tier = self._asked.organisation.tier
         if self._reply.is_begun:
             # Half of the answer is with the caller already.
             tier = ids.Tier(-1)
         return waiting.Ticket(
             attempt=head.attempt,
-            service=self._service,
+            service=self._asked.service,
             tier=tier,
             route_tier=route.tier,
             arrived_at=now,
             on_time_by=on_time_by,
             useful_until=useful_until,
-            ends_at=self._limit_at,
+            ends_at=self._asked.limit_at,
             prompt_tokens=head.prompt_tokens,
             events=self._parts.habits.predict_events(
-                route, head.expected_tokens, self._event_tokens
+                route, head.expected_tokens, self._asked.event_tokens
             ),
             last_part=head.prefix[-1][0] if head.prefix else '',
             tried=self._tried,
@@ -408,12 +265,12 @@
     def _find_useful_end(self) -> float:
         if self._sends:
             # It was offered in time; now any answer is better than none.
-            return self._limit_at
+            return self._asked.limit_at
         # Told at once, a caller can come back when there is room. One that
         # is held beyond its objective has lost that, and the time as well.
         # The same holds for one that has come back.
-        patience = self._route.objective_s * PATIENCE_OBJECTIVES
-        return min(self._limit_at, self._arrived_at + patience)
+        patience = self._asked.route.objective_s * PATIENCE_OBJECTIVES
+        return min(self._asked.limit_at, self._asked.arrived_at + patience)
 
     # Sending.
 
@@ -430,20 +287,20 @@
             end = await self._send_to(entry, began_at)
             if end is _End.DONE:
                 held = clocks.read_monotonic() - began_at
-                self._parts.scheduler.note_hold(self._service, held)
+                self._parts.scheduler.note_hold(self._asked.service, held)
             return end
         finally:
             self._release(runner)
 
     def _release(self, runner: ids.RunnerStart) -> None:
         now = clocks.read_monotonic()
-        self._parts.scheduler.release(self._service, runner, now)
+        self._parts.scheduler.release(self._asked.service, runner, now)
         self._parts.on_change()
 
     async def _send_to(
         self, entry: dialect.RunnerEntry, began_at: float
     ) -> _End:
-        left = self._limit_at - began_at
+        left = self._asked.limit_at - began_at
         if left <= 0:
             self._detail = 'no time is left'
             return _End.NOT_RUN
@@ -466,7 +323,7 @@
             self._detail = str(error)
             self._note_bad(entry, is_reached=False)
             return _End.NOT_RUN
-        except (webclient.Broken, streams.OutOfOrder, _Silent) as error:
+        except (webclient.Broken, streams.OutOfOrder, silence.Silent) as error:
             self._detail = repr(error)
             if isinstance(error, (webclient.Garbled, streams.OutOfOrder)):
                 now = clocks.read_monotonic()
@@ -478,27 +335,27 @@
     def _make_call(
         self, entry: dialect.RunnerEntry, left: float
     ) -> runnerclient.Call:
-        last_event = self._head.last_event
+        last_event = self._asked.head.last_event
         if self._reader is not None:
             last_event = self._reader.last_event
-        organisation = self._organisation
+        organisation = self._asked.organisation
         return runnerclient.Call(
-            method=self._method,
-            target=self._target,
+            method=self._asked.method,
+            target=self._asked.target,
             headers=self._parts.spoken.write_request(
-                self._head,
+                self._asked.head,
                 ids.find_runner(entry.start),
                 None if organisation is None else organisation.name,
                 left,
                 last_event,
             ),
-            body=self._body,
-            is_repeatable=self._route.is_repeatable(),
+            body=self._asked.body,
+            is_repeatable=self._asked.route.is_repeatable(),
         )
 
     def _note_bad(self, entry: dialect.RunnerEntry, is_reached: bool) -> None:
         now = clocks.read_monotonic()
-        if is_reached and now >= self._limit_at:
+        if is_reached and now >= self._asked.limit_at:
             # The runner stopped at the deadline that it was given.
             return
         if is_reached:
@@ -508,7 +365,7 @@
         self._parts.measures.count('runner_failures_total')
         eliot.log_message(
             'gateway:runner_failed',
-            attempt=self._head.attempt,
+            attempt=self._asked.head.attempt,
             runner=ids.find_runner(entry.start),
             is_reached=is_reached,
             detail=self._detail,
@@ -519,28 +376,24 @@
     @contextlib.asynccontextmanager
     async def _guard_silence(
         self, entry: dialect.RunnerEntry
-    ) -> collections.abc.AsyncIterator['_Guard']:
-        guard = _Guard()
+    ) -> collections.abc.AsyncIterator[silence.Guard]:
+        guard = silence.Guard()
         if not self._can_leave():
             yield guard
             return
-        found = self._parts.paces.find(self._service, entry.start)
-        first = found.find_first(self._head.prompt_tokens)
+        found = self._parts.paces.find(self._asked.service, entry.start)
+        first = found.find_first(self._asked.head.prompt_tokens)
         guard.extend(
-            max(
-                SILENCE_AT_LEAST,
-                SILENCE_OBJECTIVES * self._route.objective_s,
-                SILENCE_FACTOR * first,
-            )
+            silence.find_first_patience(self._asked.route.objective_s, first)
         )
         async with taskgroups.open_group() as group:
             group.start_soon(self._watch_silence, guard)
             with guard.scope:
                 yield guard
         if guard.scope.cancelled_caught:
-            raise _Silent('the runner fell silent')
+            raise silence.Silent('the runner fell silent')
 
-    async def _watch_silence(self, guard: '_Guard') -> None:
+    async def _watch_silence(self, guard: silence.Guard) -> None:
         # A silent runner may still answer. It is left only if another one
         # may be asked: else a late answer would be thrown away for nothing.
         while True:
@@ -549,13 +402,13 @@
                 continue
             now = clocks.read_monotonic()
             has_other = self._parts.scheduler.has_place(
-                self._service, self._tried, now
+                self._asked.service, self._tried, now
             )
             if has_other and self._take_second_send(now):
                 self._has_second_send = True
                 guard.scope.cancel()
                 return
-            guard.extend(SILENCE_AT_LEAST)
+            guard.extend(silence.SHORTEST)
 
     def _take_second_send(self, now: float) -> bool:
         if self._has_second_send:
@@ -563,12 +416,13 @@
             self._has_second_send = False
             return True
         return self._parts.second_sends.take(
-            self._service, self._parts.count_hosts(), now
+            self._asked.service, self._parts.count_hosts(), now
         )
 
     def _can_leave(self) -> bool:
         return (
-            self._route.is_repeatable() and self._sends < self._route.max_sends
+            self._asked.route.is_repeatable()
+            and self._sends < self._asked.route.max_sends
         )
 
     # Answers.
@@ -577,7 +431,7 @@
         self,
         entry: dialect.RunnerEntry,
         answer: runnerclient.Answer,
-        guard: '_Guard',
+        guard: silence.Guard,
         began_at: float,
         had_run: bool,
     ) -> _End:
@@ -586,7 +440,7 @@
         now = clocks.read_monotonic()
         if head.load is not None:
             self._parts.scheduler.note_load(entry.start, head.load, now)
-        if head.attempt and head.attempt != self._head.attempt:
+        if head.attempt and head.attempt != self._asked.head.attempt:
             # A late answer to another request on this connection.
             raise webclient.Broken('the answer names another attempt')
         if head.is_not_run:
@@ -606,7 +460,7 @@
         return await self._hold(entry, head, answer, began_at)
 
     def _is_event_stream(self, head: dialect.AnswerHead) -> bool:
-        return self._route.is_stream and 200 <= head.status < 300
+        return self._asked.route.is_stream and 200 <= head.status < 300
 
     async def _hold(
         self,
@@ -615,15 +469,15 @@
         answer: runnerclient.Answer,
         began_at: float,
     ) -> _End:
-        parts: list[bytes] = []
+        pieces: list[bytes] = []
         size = 0
         async for part in answer.iterate():
-            parts.append(part)
+            pieces.append(part)
             size += len(part)
             if size > HELD_BYTES:
-                return await self._pass_on(head, parts, answer)
+                return await self._pass_on(head, pieces, answer)
         now = clocks.read_monotonic()
-        body = b''.join(parts)
+        body = b''.join(pieces)
         if head.status >= FAILED_STATUS:
             self._fallback = (head, body)
             self._detail = f'status {head.status}'
@@ -632,7 +486,7 @@
         self._parts.health.note_success(entry.start)
         self._first_at = self._first_at or now
         self._parts.paces.note_first(
-            self._service, entry.start, 0, now - began_at
+            self._asked.service, entry.start, 0, now - began_at
         )
         await self._reply.deliver(head, body)
         return _End.DONE
@@ -640,11 +494,11 @@
     async def _pass_on(
         self,
         head: dialect.AnswerHead,
-        parts: list[bytes],
+        pieces: list[bytes],
         answer: runnerclient.Answer,
     ) -> _End:
         await self._reply.begin(head)
-        await self._reply.pass_part(b''.join(parts))
+        await self._reply.pass_part(b''.join(pieces))
         async for part in answer.iterate():
             await self._reply.pass_part(part)
         await self._reply.finish(head)
@@ -655,7 +509,7 @@
         entry: dialect.RunnerEntry,
         head: dialect.AnswerHead,
         answer: runnerclient.Answer,
-        guard: '_Guard',
+        guard: silence.Guard,
         began_at: float,
     ) -> _End:
         if not 200 <= head.status < 300:
@@ -663,7 +517,7 @@
             raise webclient.Broken(f'status {head.status}')
         reader = self._reader
         if reader is None:
-            reader = streams.EventReader(self._head.last_event)
+            reader = streams.EventReader(self._asked.head.last_event)
             self._reader = reader
         reader.drop_partial()
         before = reader.count
@@ -677,8 +531,8 @@
                 first_at = now
                 self._note_first(entry, now, now - began_at)
             if self._can_leave():
-                gap = GAP_FACTOR * self._route.gap_objective_s
-                guard.extend(max(GAP_AT_LEAST, gap))
+                gap_s = self._asked.route.gap_objective_s
+                guard.extend(silence.find_gap_patience(gap_s))
             if not self._reply.is_begun:
                 await self._reply.begin(head)
             await self._reply.pass_part(whole)
@@ -696,11 +550,14 @@
         if self._first_at is None:
             self._first_at = now
         self._parts.paces.note_first(
-            self._service, entry.start, self._head.prompt_tokens, seconds
+            self._asked.service,
+            entry.start,
+            self._asked.head.prompt_tokens,
+            seconds,
         )
-        if self._head.prefix:
+        if self._asked.head.prefix:
             self._parts.scheduler.note_part(
-                self._head.prefix[-1][0], entry.start, now
+                self._asked.head.prefix[-1][0], entry.start, now
             )
 
     def _note_end(
@@ -713,28 +570,28 @@
         if first_at is None or events < 2:
             return
         rest = clocks.read_monotonic() - first_at
-        self._parts.paces.note_rest(self._service, entry.start, events, rest)
-        self._parts.habits.note_events(self._route.name, events)
+        self._parts.paces.note_rest(
+            self._asked.service, entry.start, events, rest
+        )
+        self._parts.habits.note_events(self._asked.route.name, events)
 
     # Answers of our own.
 
     async def _fail(self, problem: errors.Problem) -> None:
         self._detail = self._detail or problem.text
-        await self._reply.fail(self._head.attempt, problem)
+        await self._reply.fail(self._asked.head.attempt, problem)
 
     async def _refuse(self, problem: errors.Problem) -> None:
-        if self._organisation is not None and self._cost > 0:
-            self._parts.quotas.give_back(self._organisation, self._cost)
-            self._cost = 0.0
+        self._asked.give_back()
         self._detail = self._detail or problem.text
-        await self._reply.write_problem(self._head.attempt, problem)
+        await self._reply.write_problem(self._asked.head.attempt, problem)
 
     def _finish(self, now: float) -> None:
-        head = self._head
-        took = now - self._arrived_at
+        head = self._asked.head
+        took = now - self._asked.arrived_at
         first = None
         if self._first_at is not None:
-            first = round(self._first_at - self._arrived_at, 4)
+            first = round(self._first_at - self._asked.arrived_at, 4)
         runner = None
         if self._runner is not None:
             runner = ids.find_runner(self._runner)
@@ -746,14 +603,14 @@
         eliot.log_message(
             'gateway:request',
             attempt=head.attempt,
-            target=self._target,
+            target=self._asked.target,
             organisation=None
-            if self._organisation is None
-            else self._organisation.name,
+            if self._asked.organisation is None
+            else self._asked.organisation.name,
             runner=runner,
             sends=self._sends,
-            version=self._version,
-            service=self._service,
+            version=self._asked.version,
+            service=self._asked.service,
             tokens=[head.prompt_tokens, head.expected_tokens],
             given_s=head.deadline_s,
             waited_s=round(self._waited_s, 4),
@@ -764,32 +621,6 @@
         )
 
 
-@ty.final
-class _Guard:
-    """Ends a call to a runner that falls silent."""
-
-    def __init__(self) -> None:
-        self.scope = anyio.CancelScope()
-        # On the clock of the event loop.
-        self.ends_at = math.inf
-
-    def extend(self, seconds: float) -> None:
-        self.ends_at = anyio.current_time() + seconds
-
-
-def _find_target(scope: asgi.Scope) -> str:
-    target: bytes = scope['raw_path']
-    if scope['query_string']:
-        target = target + b'?' + scope['query_string']
-    return target.decode('latin-1')
-
-
-def _make_nameless_head() -> dialect.RequestHead:
-    return dialect.RequestHead(
-        '', '', None, None, 0, 0, None, False, (), '', ()
-    )
-
-
 async def _read_rest(answer: runnerclient.Answer) -> None:
     async for _ in answer.iterate():
         continue
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
@@ -14,6 +14,7 @@
 from apricotlanding import asgi
 from apricotlandingd.gateway.process import measures
 from apricotlandingd.gateway.requests import exchange
+from apricotlandingd.gateway.requests import parts
 
 __all__ = ['Listener']
 
@@ -24,14 +25,14 @@
 
     def __init__(
         self,
-        parts: exchange.Parts,
+        shared: parts.Parts,
         readiness: addresses.Address,
         metrics: addresses.Address,
         is_ready: collections.abc.Callable[[], bool],
         found: measures.Measures,
     ) -> None:
         """Serve callers on every address that is not one of these two."""
-        self._parts = parts
+        self._parts = shared
         self._readiness_port = readiness.port
         self._metrics_port = metrics.port
         self._is_ready = is_ready
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/parts.py
@@ -0,0 +1,53 @@
+"""What all requests of a gateway share: decisions, beliefs, and calls back.
+
+One value, so that a request is made from it and from what its caller sent.
+"""
+
+import collections.abc
+import dataclasses
+import typing as ty
+
+from apricotlanding import ids
+from apricotlanding import retrybudget
+from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.process import measures
+from apricotlandingd.gateway.requests import habits
+from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
+
+__all__ = ['Parts']
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class Parts:
+    """What all requests of a gateway share."""
+
+    spoken: dialect.Dialect
+    quotas: quotas.Quotas
+    second_sends: retrybudget.RetryBudget
+    scheduler: scheduler.Scheduler
+    directory: directory.Directory
+    health: health.Health
+    paces: pace.Paces
+    measures: measures.Measures
+    find_catalogue: collections.abc.Callable[[], catalogue.Catalogue | None]
+    find_client: collections.abc.Callable[
+        [dialect.RunnerEntry], runnerclient.RunnerClient
+    ]
+    count_hosts: collections.abc.Callable[[], int]
+    find_silent_share: collections.abc.Callable[[], float]
+    # Part of an organisation's allowance that is for this host's group.
+    find_group_part: collections.abc.Callable[
+        [catalogue.Organisation, float], float
+    ]
+    is_stopping: collections.abc.Callable[[], bool]
+    on_change: collections.abc.Callable[[], None]
+    # Called with each answer that is none, and the reason.
+    on_garbled: collections.abc.Callable[[ids.Runner, str, float], None]
+    habits: habits.Habits
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/silence.py
@@ -0,0 +1,60 @@
+"""When a runner that says nothing is left for another one.
+
+Leaving it costs a second run of the same work, so a runner is given several
+times what it should need.
+"""
+
+import math
+import typing as ty
+
+import anyio
+
+__all__ = [
+    'SHORTEST',
+    'Guard',
+    'Silent',
+    'find_first_patience',
+    'find_gap_patience',
+]
+
+# A repeatable request leaves a runner that has not begun to answer after
+# this many times the expected time, and not before this many seconds.
+FACTOR = 4.0
+SHORTEST = 0.6
+# Nor before this many times the objective: the engines' batches are busiest
+# when all first events are slow, and leaving then only adds to the load.
+OBJECTIVES = 1.5
+# A stream leaves a runner after this many times the pause that callers want,
+# and not before this many seconds.
+GAP_FACTOR = 3.0
+SHORTEST_GAP = 0.8
+
+
+@ty.final
+class Silent(Exception):
+    """The runner says nothing, and another one may do the work."""
+
+
+@ty.final
+class Guard:
+    """Ends a call to a runner that falls silent."""
+
+    def __init__(self) -> None:
+        """Start without an end."""
+        self.scope = anyio.CancelScope()
+        # On the clock of the event loop.
+        self.ends_at = math.inf
+
+    def extend(self, seconds: float) -> None:
+        """Give the runner so many seconds from now."""
+        self.ends_at = anyio.current_time() + seconds
+
+
+def find_first_patience(objective_s: float, expected_s: float) -> float:
+    """Return the seconds that a runner has for the first of its answer."""
+    return max(SHORTEST, OBJECTIVES * objective_s, FACTOR * expected_s)
+
+
+def find_gap_patience(gap_objective_s: float) -> float:
+    """Return the seconds that a runner has for the next event."""
+    return max(SHORTEST_GAP, GAP_FACTOR * gap_objective_s)
