Call a retry a retry, as the field does

Second sends and resends were names of our own for it; the budget that both programs share is a retry budget.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -185,8 +185,8 @@
             bounds.quota_slack, clocks.read_monotonic()
         )
         self._group_uses = groupuses.GroupUses()
-        self._second_sends = retrybudget.RetryBudget(
-            bounds.resend_share, bounds.resend_slack, bounds.resend_window_s
+        self._retry_budget = retrybudget.RetryBudget(
+            bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
         self._scheduler = scheduler.Scheduler(
             self._directory,
@@ -198,7 +198,7 @@
         shared = parts.Parts(
             spoken=self._dialect,
             quotas=self._quotas,
-            second_sends=self._second_sends,
+            retry_budget=self._retry_budget,
             scheduler=self._scheduler,
             directory=self._directory,
             health=self._health,
@@ -618,8 +618,8 @@
         self._directory.set_drain_time(bounds.drain_s)
         self._freshness.set_bounds(_find_bounds(bounds))
         self._quotas.set_slack(bounds.quota_slack)
-        self._second_sends.set_bounds(
-            bounds.resend_share, bounds.resend_slack, bounds.resend_window_s
+        self._retry_budget.set_bounds(
+            bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
         # Addresses are those that the process is bound to.
         self._settings = dataclasses.replace(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
@@ -24,11 +24,11 @@
     drain_s: float
     # Seconds after which a configuration is in force on every host.
     apply_s: float
-    # Second sends to a service that are free of charge in a window, of all
+    # Retries at a service that are free of charge in a window, of all
     # hosts together; further ones are a share of the requests.
-    resend_share: float
-    resend_slack: float
-    resend_window_s: float
+    retry_share: float
+    retry_slack: float
+    retry_window_s: float
     # Units that all hosts together may hand out beyond an allowance.
     quota_slack: float
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -103,7 +103,7 @@
         limit = min(self.given_s, self.route.timeout_s)
         self.limit_at = self.arrived_at + limit
         self._parts.habits.note_given(self.route.name, self.given_s)
-        self._parts.second_sends.note_request(self.service, now)
+        self._parts.retry_budget.note_request(self.service, now)
         holder = self.organisation
         if holder is None:
             return None
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -79,7 +79,7 @@
         # Runners that bytes of this request went to.
         self._sends = 0
         self._may_have_run = False
-        self._has_second_send = False
+        self._has_retry = False
         self._tried: set[ids.RunnerStart] = set()
         # A failure that a runner answered, for when no other does better.
         self._fallback: tuple[dialect.AnswerHead, bytes] | None = None
@@ -187,9 +187,9 @@
         if self._sends >= self._asked.route.max_sends:
             return False
         if self._sends == 0:
-            # Nothing has reached a runner: no second send.
+            # Nothing has reached a runner: no retry.
             return True
-        return self._take_second_send(now)
+        return self._take_retry(now)
 
     async def _give_up(self, problem: errors.Problem) -> None:
         # The last word when no runner answers: the failure that a runner
@@ -404,18 +404,18 @@
             has_other = self._parts.scheduler.has_place(
                 self._asked.service, self._tried, now
             )
-            if has_other and self._take_second_send(now):
-                self._has_second_send = True
+            if has_other and self._take_retry(now):
+                self._has_retry = True
                 guard.scope.cancel()
                 return
             guard.extend(silence.SHORTEST)
 
-    def _take_second_send(self, now: float) -> bool:
-        if self._has_second_send:
+    def _take_retry(self, now: float) -> bool:
+        if self._has_retry:
             # Taken when the runner was left for its silence.
-            self._has_second_send = False
+            self._has_retry = False
             return True
-        return self._parts.second_sends.take(
+        return self._parts.retry_budget.take(
             self._asked.service, self._parts.count_hosts(), now
         )
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/parts.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/parts.py
@@ -30,7 +30,7 @@
 
     spoken: dialect.Dialect
     quotas: quotas.Quotas
-    second_sends: retrybudget.RetryBudget
+    retry_budget: retrybudget.RetryBudget
     scheduler: scheduler.Scheduler
     directory: directory.Directory
     health: health.Health
