--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/waits.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/waits.py
@@ -41,7 +41,7 @@
 # Parts of a bound. Half of it may pass until the group knows that reads are
 # lost. Of the rest, a turn or two go to hosts that do not ask because they
 # have just died, one fetch to a peer that has, and a quarter is left for
-# machines that are slow.
+# hosts that are slow.
 ANSWER_AGE_PART = 0.5
 # Time that a host leaves to the one whose turn to ask is before its own: an
 # answer takes milliseconds, and peers hear of it within 20 ms.
