--- a/tests/test_gateway_reading.py
+++ b/tests/test_gateway_reading.py
@@ -75,6 +75,24 @@
         return
 
 
+def make_reader(
+    store: QuietStore, board: records.Board
+) -> storereader.StoreReader:
+    """Return the only reader of a store."""
+    return storereader.StoreReader(
+        dialect.CONFIG,
+        store,
+        board,
+        freshness.Freshness(board, {dialect.CONFIG: BOUND_S}),
+        lambda: freshness.Readers((), ids.Host('host-a'), True),
+        lambda now: None,
+        lambda now: None,
+        lambda: None,
+        anyio.Lock(),
+        random.Random(1),
+    )
+
+
 class TestReader(testtools.TestCase):
     """One topic."""
 
@@ -85,18 +103,7 @@
         """
         store = QuietStore()
         board = records.Board()
-        reader = storereader.StoreReader(
-            dialect.CONFIG,
-            store,
-            board,
-            freshness.Freshness(board, {dialect.CONFIG: BOUND_S}),
-            lambda: freshness.Readers((), ids.Host('host-a'), True),
-            lambda now: None,
-            lambda now: None,
-            lambda: None,
-            anyio.Lock(),
-            random.Random(1),
-        )
+        reader = make_reader(store, board)
 
         async def write() -> None:
             async with anyio.create_task_group() as group:
@@ -166,18 +173,7 @@
     def count_calls(self, is_gone: bool) -> int:
         store = LeapingStore(is_gone)
         board = records.Board()
-        reader = storereader.StoreReader(
-            dialect.CONFIG,
-            store,
-            board,
-            freshness.Freshness(board, {dialect.CONFIG: BOUND_S}),
-            lambda: freshness.Readers((), ids.Host('host-a'), True),
-            lambda now: None,
-            lambda now: None,
-            lambda: None,
-            anyio.Lock(),
-            random.Random(1),
-        )
+        reader = make_reader(store, board)
 
         async def read() -> None:
             with anyio.move_on_after(1.0):
