Move what hosts tell of allowances out of the gateway's process module

No behaviour changes. gateway.py tied buckets, mesh and groups together itself, so a cold start of many hosts could not be played without processes.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -20,7 +20,6 @@
 left, or when its grace is nearly over (``shutdown``).
 """
 
-import collections
 import collections.abc
 import dataclasses
 import functools
@@ -40,11 +39,11 @@
 from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlandingd.gateway import catalogue
-from apricotlandingd.gateway.decisions import groupuses
 from apricotlandingd.gateway.decisions import quotas
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.process import foreigninput
@@ -181,10 +180,10 @@
         self._stalls = stalls.StallWatch()
         self._paces = pace.Paces()
         self._health = health.Health()
-        self._quotas = quotas.Quotas(
-            bounds.quota_slack, clocks.read_monotonic()
+        self._allowances = allowances.Allowances(
+            quotas.Quotas(bounds.quota_slack, clocks.read_monotonic()),
+            self._mesh,
         )
-        self._group_uses = groupuses.GroupUses()
         self._retry_budget = retrybudget.RetryBudget(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
@@ -197,7 +196,7 @@
         )
         shared = parts.Parts(
             spoken=self._dialect,
-            quotas=self._quotas,
+            allowances=self._allowances,
             retry_budget=self._retry_budget,
             scheduler=self._scheduler,
             directory=self._directory,
@@ -207,8 +206,6 @@
             find_catalogue=lambda: self._catalogue,
             find_client=self._clients.find,
             count_hosts=self._mesh.count_hosts,
-            find_silent_share=self._mesh.find_silent_share,
-            find_group_part=self._find_group_part,
             is_stopping=lambda: self._is_stopping,
             on_change=self._mesh.tell,
             on_garbled=functools.partial(
@@ -454,8 +451,8 @@
         now = clocks.read_monotonic()
         asked = group_asked = quotas.Usage()
         if self._mesh.partition.count > 1 and scope is not mesh.Scope.CHANGES:
-            asked = self._quotas.list_asked(now)
-            group_asked = self._sum_asked(asked)
+            asked = self._allowances.buckets.list_asked(now)
+            group_asked = self._allowances.sum_group_asked(asked)
         spare: dict[ids.RunnerStart, int] = {}
         if scope is mesh.Scope.FAR:
             spare = self._scheduler.list_spare(now)
@@ -474,7 +471,7 @@
             reads_store=self._reads_store(now),
             positions=records.list_positions(self._board.positions),
             running=running,
-            usage=self._quotas.usage,
+            usage=self._allowances.buckets.usage,
             ranks=ranks,
             hints=hints,
             asked=asked,
@@ -496,27 +493,9 @@
             for service, items in self._scheduler.list_waiting(now).items()
         }
 
-    def _sum_asked(self, asked: quotas.Usage) -> quotas.Usage:
-        total = collections.Counter(asked)
-        for peer in self._mesh.list_near():
-            total.update(peer.asked)
-        return dict(total)
-
-    def _find_group_part(
-        self, organisation: catalogue.Organisation, now: float
-    ) -> float:
-        count = self._mesh.partition.count
-        if count == 1:
-            return 1.0
-        name = organisation.name
-        asked = self._quotas.find_asked(name, now) + sum(
-            peer.asked.get(name, 0.0) for peer in self._mesh.list_near()
-        )
-        return self._group_uses.find_part(organisation, asked, count)
-
     def _take_state(self, state: messages.HostState, now: float) -> None:
+        self._allowances.hear(state, now)
         if self._mesh.partition.is_near(state.host):
-            self._quotas.hear(state.incarnation, state.usage, now)
             self._freshness.hear(
                 state.host,
                 state.answer_ages,
@@ -528,9 +507,7 @@
             self._freshness.hear_far(
                 state.host, state.answer_ages, state.positions, now
             )
-            self._quotas.skip(state.incarnation, state.usage)
             group = self._mesh.partition.find_group(state.host)
-            self._group_uses.hear(group, state.group_asked)
             self._scheduler.spares.hear(group, state.spare, now)
         if records.is_ahead(state.positions, self._board.positions):
             self._catch_up.note_ahead()
@@ -538,7 +515,7 @@
             self._pump(now)
 
     def _forget_peer(self, state: messages.HostState) -> None:
-        self._quotas.forget(state.incarnation)
+        self._allowances.forget(state.incarnation)
         self._freshness.forget(state.host)
 
     # Runners.
@@ -617,7 +594,7 @@
         bounds = found.bounds
         self._directory.set_drain_time(bounds.drain_s)
         self._freshness.set_bounds(_find_bounds(bounds))
-        self._quotas.set_slack(bounds.quota_slack)
+        self._allowances.buckets.set_slack(bounds.quota_slack)
         self._retry_budget.set_bounds(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -51,7 +51,9 @@
     def give_back(self) -> None:
         """Return what was taken from the allowance: nothing has run."""
         if self.organisation is not None and self.cost > 0:
-            self._parts.quotas.give_back(self.organisation, self.cost)
+            self._parts.allowances.buckets.give_back(
+                self.organisation, self.cost
+            )
             self.cost = 0.0
 
     async def admit(
@@ -110,12 +112,10 @@
         tokens = None
         if self.head.has_tokens:
             tokens = self.head.prompt_tokens + self.head.output_tokens
-        cost = self._parts.quotas.find_cost(holder, tokens)
-        silent_share = self._parts.find_silent_share()
-        group_part = self._parts.find_group_part(holder, now)
-        wait = self._parts.quotas.take(
-            holder, cost, silent_share, now, group_part
-        )
+        allowances = self._parts.allowances
+        cost = allowances.buckets.find_cost(holder, tokens)
+        shares = allowances.find_shares(holder, now)
+        wait = allowances.take(holder, cost, shares, now)
         if wait is not None:
             eliot.log_message(
                 'gateway:over_allowance',
@@ -123,8 +123,8 @@
                 organisation=holder.name,
                 cost=cost,
                 wait_s=round(wait, 3),
-                silent_share=round(silent_share, 3),
-                group_part=round(group_part, 3),
+                silent_share=round(shares.silent, 3),
+                group_part=round(shares.group_part, 3),
                 version=self.version,
             )
             return errors.make_problem(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/parts.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/parts.py
@@ -10,9 +10,9 @@
 from apricotlanding import ids
 from apricotlanding import retrybudget
 from apricotlandingd.gateway import catalogue
-from apricotlandingd.gateway.decisions import quotas
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.process import measures
 from apricotlandingd.gateway.requests import habits
 from apricotlandingd.gateway.requests import runnerclient
@@ -29,7 +29,7 @@
     """What all requests of a gateway share."""
 
     spoken: dialect.Dialect
-    quotas: quotas.Quotas
+    allowances: allowances.Allowances
     retry_budget: retrybudget.RetryBudget
     scheduler: scheduler.Scheduler
     directory: directory.Directory
@@ -41,11 +41,6 @@
         [dialect.RunnerEntry], runnerclient.RunnerClient
     ]
     count_hosts: collections.abc.Callable[[], int]
-    find_silent_share: collections.abc.Callable[[], float]
-    # Part of an organisation's allowance that is for this host's group.
-    find_group_part: collections.abc.Callable[
-        [catalogue.Organisation, float], float
-    ]
     is_stopping: collections.abc.Callable[[], bool]
     on_change: collections.abc.Callable[[], None]
     # Called with each answer that is none, and the reason.
