Tell near hosts what changed in a third of the bytes

Change: between two whole states a host sends HostChange: digests for its process and for runners, totals only where they have changed. What the messages hold moves out of gateway.py.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -2,10 +2,10 @@
 
 Hosts find each other by the seeds of the settings, by a record that each
 writes once into the platform's store, and by hints in each other's messages.
-They exchange ``HostState`` by datagram: each is whole and newer than the one
-before, so loss and reordering need no repair, and a peer that has fallen
-silent costs nothing but its own estimate. ``Mesh`` implements what the
-scheduler asks about others.
+They exchange ``HostState`` by datagram, and ``HostChange`` in between: each is
+newer than the one before, so loss and reordering need no repair, and a peer
+that has fallen silent costs nothing but its own estimate. ``Mesh`` implements
+what the scheduler asks about others.
 
 Hosts of one group (``groups``) are near: they tell each other every change,
 and only their requests and waits count here. Each other host is far: it hears
@@ -72,10 +72,10 @@
 class Scope(enum.Enum):
     """What a state is to hold."""
 
-    # Everything.
+    # Everything, for near peers.
     WHOLE = 'whole'
-    # What changes from one moment to the next and near peers decide by.
-    CHANGES = 'changes'
+    # The same, for hosts that were never heard.
+    SOUGHT = 'sought'
     # What hosts of other groups use.
     FAR = 'far'
 
@@ -91,6 +91,8 @@
     heard_at: float
     # Ranks of what waits there, on this host's clock.
     ranks: dict[ids.Pool, list[waiting.Rank]]
+    # Requests at runners, by the digest of the runner's start.
+    running: dict[int, int]
     # Is in this host's group.
     is_near: bool
     # When it came into the group: before, it sent rarely.
@@ -122,9 +124,9 @@
         # Requests of all heard near peers at each runner. Kept up with each
         # message: summing all peers for each runner at each decision would
         # cost more than the decision.
-        self._running: collections.Counter[ids.RunnerStart] = (
-            collections.Counter()
-        )
+        self._running: collections.Counter[int] = collections.Counter()
+        # Host of each process that was heard, by its digest.
+        self._processes: dict[int, ids.Host] = {}
         self._silent_share = 0.0
         self.partition = groups.Partition()
         # Addresses to try, with the tries that are left.
@@ -148,6 +150,7 @@
         self.make_state: collections.abc.Callable[
             [int, Scope, dict[ids.Host, str]], messages.HostState
         ]
+        self.make_change: collections.abc.Callable[[int], messages.HostChange]
         self.on_state: collections.abc.Callable[
             [messages.HostState, float], None
         ] = lambda state, now: None
@@ -198,7 +201,7 @@
 
     def count_running(self, runner: ids.RunnerStart) -> int:
         """Return the requests that heard peers have at a runner."""
-        return self._running[runner]
+        return self._running[messages.digest_start(runner)]
 
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         """Return what waits at heard peers, sorted."""
@@ -230,25 +233,64 @@
         known = self.peers.get(state.host)
         if known is not None and not self._is_newer(state, known.state):
             return
+        running = {
+            messages.digest_start(start): count
+            for start, count in state.running.items()
+        }
+        self._processes[messages.digest_process(state.incarnation)] = (
+            state.host
+        )
+        self._file(self._make_peer(state, running, now), known, now)
+        for host, address in state.hints.items():
+            if host != self._host and host not in self.peers:
+                self.seek(messages.read_address(address))
+        self.on_state(state, now)
+
+    def take_change(self, change: messages.HostChange, now: float) -> None:
+        """Take what has changed at a peer.
+
+        A process that was never heard is left out: its whole state, which
+        names it, comes within half a second.
+        """
+        host = self._processes.get(change.process)
+        known = None if host is None else self.peers.get(host)
+        if known is None or change.number <= known.state.number:
+            return
+        if not known.is_near:
+            # Its groups are not those that this host sees.
+            return
+        state = dataclasses.replace(
+            known.state,
+            number=change.number,
+            is_stopping=change.is_stopping,
+            reads_store=change.reads_store,
+            positions=change.positions,
+            usage=known.state.usage | change.usage,
+            ranks=change.ranks,
+            answer_ages=change.answer_ages,
+            hints={},
+            asked={},
+        )
+        peer = self._make_peer(state, change.running, now)
+        self._file(peer, known, now)
+        self.on_state(state, now)
+
+    def _file(self, peer: Peer, known: Peer | None, now: float) -> None:
+        host = peer.state.host
         if known is None or known.is_silent:
-            eliot.log_message('gateway:peer_heard', peer=state.host)
-        peer = self._make_peer(state, now)
+            eliot.log_message('gateway:peer_heard', peer=host)
         if known is not None:
             peer.near_at = known.near_at
-            peer.asked = state.asked or known.asked
-        self.peers[state.host] = peer
+            peer.asked = peer.state.asked or known.asked
+        self.peers[host] = peer
+        self._sought.pop(peer.address, None)
         if known is None:
             self._changed.set()
             self._divide(now)
         elif known.is_silent:
             self._count()
         elif peer.is_near:
-            self._recount(known.state.running, state.running)
-        self._sought.pop(peer.address, None)
-        for host, address in state.hints.items():
-            if host != self._host and host not in self.peers:
-                self.seek(messages.read_address(address))
-        self.on_state(state, now)
+            self._recount(known.running, peer.running)
 
     def drop_silent(self, now: float) -> None:
         """Leave silent peers out, and forget those that stay silent."""
@@ -265,19 +307,25 @@
             if passed <= limit + 4 * turn:
                 continue
             del self.peers[host]
+            process = messages.digest_process(peer.state.incarnation)
+            self._processes.pop(process, None)
             eliot.log_message('gateway:peer_dropped', peer=host)
             self.on_dropped(peer.state)
         if len(self.peers) != count:
             self._divide(now)
 
-    def _make_peer(self, state: messages.HostState, now: float) -> Peer:
+    def _make_peer(
+        self, state: messages.HostState, running: dict[int, int], now: float
+    ) -> Peer:
         is_near = self.partition.is_near(state.host)
         ranks: dict[ids.Pool, list[waiting.Rank]] = {}
         if is_near:
             for service, found in state.ranks.items():
                 ranks[service] = [rank.shift(now) for rank in found]
         address = messages.read_address(state.state_address)
-        return Peer(state, address, now, ranks, is_near, asked=state.asked)
+        return Peer(
+            state, address, now, ranks, running, is_near, asked=state.asked
+        )
 
     def _divide(self, now: float) -> None:
         before = self.partition
@@ -298,8 +346,8 @@
 
     def _recount(
         self,
-        before: dict[ids.RunnerStart, int],
-        after: dict[ids.RunnerStart, int],
+        before: dict[int, int],
+        after: dict[int, int],
     ) -> None:
         for runner, count in before.items():
             self._running[runner] -= count
@@ -314,7 +362,7 @@
                 continue
             near += 1
             if not peer.is_silent:
-                self._running.update(peer.state.running)
+                self._running.update(peer.running)
             elif not peer.state.is_stopping:
                 silent += 1
         self._silent_share = silent / (1 + near)
@@ -329,6 +377,7 @@
         if state.incarnation in self._ended:
             return False
         self._ended.append(known.incarnation)
+        self._processes.pop(messages.digest_process(known.incarnation), None)
         return True
 
     # Tasks.
@@ -357,6 +406,9 @@
             except errors.Refused as error:
                 self.on_unreadable(sender[0], str(error), now)
                 continue
+            if isinstance(state, messages.HostChange):
+                self.take_change(state, now)
+                continue
             if not isinstance(state, messages.HostState):
                 self.on_unreadable(sender[0], 'no state of a host', now)
                 continue
@@ -369,11 +421,11 @@
             self._changed = anyio.Event()
             now = clocks.read_monotonic()
             self.drop_silent(now)
-            scope = Scope.CHANGES
             if now - self._whole_at > WHOLE_INTERVAL:
                 self._whole_at = now
-                scope = Scope.WHOLE
-            data = self._write_state(scope)
+                data = self._write_state(Scope.WHOLE)
+            else:
+                data = self._write_change()
             near = [peer for peer in self.peers.values() if peer.is_near]
             for peer in near:
                 self._send(data, peer.address)
@@ -402,7 +454,7 @@
 
     async def _search(self) -> None:
         while True:
-            data = self._write_state(Scope.WHOLE)
+            data = self._write_state(Scope.SOUGHT)
             for address, tries in list(self._sought.items()):
                 if tries <= 0:
                     del self._sought[address]
@@ -419,14 +471,14 @@
             # makes it good.
             return
 
+    def _write_change(self) -> bytes:
+        self._number += 1
+        return messages.registry.encode(self.make_change(self._number))
+
     def _write_state(self, scope: Scope) -> bytes:
         self._number += 1
-        hints: dict[ids.Host, str] = {}
-        if scope is not Scope.CHANGES:
-            known = list(self.peers.values())
-            hinted = self._spread.sample(known, min(HINTS, len(known)))
-            hints = {
-                peer.state.host: peer.state.state_address for peer in hinted
-            }
+        known = list(self.peers.values())
+        hinted = self._spread.sample(known, min(HINTS, len(known)))
+        hints = {peer.state.host: peer.state.state_address for peer in hinted}
         state = self.make_state(self._number, scope, hints)
         return messages.registry.encode(state)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -1,9 +1,11 @@
 """Messages between gateway hosts.
 
-``HostState`` goes to every peer by datagram, several times a second and
-after changes; it is whole each time, so a lost one does no harm. The rest
-are a request and its reply over one connection, for records that a peer
-lacks, which may be larger than a datagram.
+``HostState`` goes to every peer by datagram, several times a second; it is
+whole each time, so a lost one does no harm. Between two of them near peers get
+``HostChange`` after each change, which says the same of what changes from one
+moment to the next, in a quarter of the bytes: names that both sides know are
+digests. The rest are a request and its reply over one connection, for records
+that a peer lacks, which may be larger than a datagram.
 
 Whoever reaches a host's ports can send these, so types alone are not enough:
 a count below zero would give out places that a runner does not have, NaN in a
@@ -18,6 +20,7 @@
 import typing as ty
 
 import pydantic
+import xxhash
 
 from apricotlanding import addresses
 from apricotlanding import codec
@@ -25,10 +28,13 @@
 from apricotlandingd.gateway.decisions import waiting
 
 __all__ = [
+    'HostChange',
     'HostState',
     'RecordPage',
     'RecordQuery',
     'RecordRow',
+    'digest_process',
+    'digest_start',
     'read_address',
     'registry',
 ]
@@ -45,6 +51,21 @@
 MOST_HINTS: ty.Final = 16
 
 
+@functools.lru_cache(maxsize=8192)
+def digest_start(start: ids.RunnerStart) -> int:
+    """Return the 32 bits that stand for a runner's start in a message.
+
+    Of 2,100 runners, two have the same digest in one deployment of 2,000;
+    each then seems to hold the other's requests as well.
+    """
+    return xxhash.xxh32_intdigest(start.encode())
+
+
+def digest_process(process: ids.Incarnation) -> int:
+    """Return the 64 bits that stand for a host's process in a message."""
+    return xxhash.xxh3_64_intdigest(process.encode())
+
+
 @functools.lru_cache(maxsize=4096)
 def read_address(text: str) -> addresses.Address:
     """Return the address in a message; ValueError if it is none.
@@ -71,6 +92,7 @@
 
 
 Count = ty.Annotated[int, pydantic.Field(ge=0, le=LARGEST)]
+Digest = ty.Annotated[int, pydantic.Field(ge=0, lt=2**64)]
 Offset = Count
 # Milliseconds; ``freshness`` takes one below zero for none.
 Age = ty.Annotated[int, pydantic.Field(ge=-LARGEST, le=LARGEST)]
@@ -167,3 +189,25 @@
 
     positions: list[Offset]
     topics: list[list[RecordRow]]
+
+
+@registry.register(5)
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostChange:
+    """What has changed at a host since it sent a ``HostState``."""
+
+    # Of the sender's incarnation, which its ``HostState`` names.
+    process: Digest
+    # Counts on with the messages of the incarnation.
+    number: Count
+    is_stopping: bool
+    reads_store: bool
+    positions: list[Offset]
+    # All requests at runners, by the digest of the runner's start.
+    running: dict[Digest, Count]
+    # Totals of the organisations that were handed out units since.
+    usage: dict[ids.Organisation, Units]
+    # As in ``HostState``.
+    ranks: dict[ids.Pool, list[CheckedRank]]
+    answer_ages: list[Age]
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -39,14 +39,13 @@
 from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlandingd.gateway import catalogue
-from apricotlandingd.gateway.decisions import quotas
 from apricotlandingd.gateway.decisions import scheduler
-from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.process import foreigninput
+from apricotlandingd.gateway.process import hoststates
 from apricotlandingd.gateway.process import measures
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import stalls
@@ -167,7 +166,6 @@
             ),
             self._spread,
         )
-        self._mesh.make_state = self._make_state
         self._mesh.on_state = self._take_state
         self._mesh.on_dropped = self._forget_peer
         self._mesh.on_unreadable = functools.partial(
@@ -194,6 +192,19 @@
             self._mesh,
             self._spread,
         )
+        states = hoststates.HostStates(
+            config,
+            self.incarnation,
+            self._board,
+            self._freshness,
+            self._allowances,
+            self._scheduler,
+            self._mesh,
+            self._reads_store,
+            lambda: self._is_stopping,
+        )
+        self._mesh.make_state = states.make_state
+        self._mesh.make_change = states.make_change
         shared = parts.Parts(
             spoken=self._dialect,
             allowances=self._allowances,
@@ -446,57 +457,6 @@
 
     # States of hosts.
 
-    def _make_state(
-        self, number: int, scope: mesh.Scope, hints: dict[ids.Host, str]
-    ) -> messages.HostState:
-        now = clocks.read_monotonic()
-        asked = group_asked = quotas.Usage()
-        if self._mesh.partition.count > 1 and scope is not mesh.Scope.CHANGES:
-            asked = self._allowances.buckets.list_asked(now)
-            group_asked = self._allowances.sum_group_asked(asked)
-        group_used = quotas.Usage()
-        spare: dict[ids.RunnerStart, int] = {}
-        if scope is mesh.Scope.FAR:
-            group_used = self._allowances.list_used(now)
-            spare = self._scheduler.list_spare(now)
-        running: dict[ids.RunnerStart, int] = {}
-        ranks: dict[ids.Pool, list[waiting.Rank]] = {}
-        if scope is not mesh.Scope.FAR:
-            running = dict(self._scheduler.places.running)
-            ranks = self._list_ranks(now)
-        return messages.HostState(
-            host=self._settings.host,
-            incarnation=self.incarnation,
-            state_address=str(self._settings.state),
-            peers_address=str(self._settings.peers),
-            number=number,
-            is_stopping=self._is_stopping,
-            reads_store=self._reads_store(now),
-            positions=records.list_positions(self._board.positions),
-            running=running,
-            usage=self._allowances.buckets.usage,
-            ranks=ranks,
-            hints=hints,
-            asked=asked,
-            group_asked=group_asked,
-            spare=spare,
-            answer_ages=self._list_ages(scope, now),
-            group_used=group_used,
-        )
-
-    def _list_ages(self, scope: mesh.Scope, now: float) -> list[int]:
-        if scope is mesh.Scope.FAR:
-            return self._freshness.list_group_ages(now)
-        return self._freshness.list_near_ages(
-            now, self._reads_store(now), scope is mesh.Scope.WHOLE
-        )
-
-    def _list_ranks(self, now: float) -> dict[ids.Pool, list[waiting.Rank]]:
-        return {
-            service: [rank.shift(-now) for rank in items[: mesh.RANKS]]
-            for service, items in self._scheduler.list_waiting(now).items()
-        }
-
     def _take_state(self, state: messages.HostState, now: float) -> None:
         self._allowances.hear(state, now)
         if self._mesh.partition.is_near(state.host):
--- a/tests/manyhosts.py
+++ b/tests/manyhosts.py
@@ -27,6 +27,8 @@
 START_SPREAD = 0.3
 LIST_TIMES = (0.05, 0.4)
 LONGEST_WAY = 0.02
+# Part of the messages to near hosts that are whole states.
+WHOLE_PART = 0.1
 
 
 @dataclasses.dataclass
@@ -53,25 +55,22 @@
     address: addresses.Address
     others: mesh.Mesh
     shared: allowances.Allowances
+    process: ids.Incarnation
     number: int = 0
     # Far hosts that have not had their turn.
     turn: list[ids.Host] = dataclasses.field(default_factory=list)
 
     def make_state(self, now: float, scope: mesh.Scope) -> messages.HostState:
         self.number += 1
-        asked = group_asked = group_used = quotas.Usage()
-        hints: dict[ids.Host, str] = {}
-        if scope is not mesh.Scope.CHANGES:
-            asked = self.shared.buckets.list_asked(now)
-            group_asked = self.shared.sum_group_asked(asked)
+        asked = self.shared.buckets.list_asked(now)
+        group_used = quotas.Usage()
+        if scope is mesh.Scope.FAR:
             group_used = self.shared.list_used(now)
-            known = list(self.others.peers.values())[-mesh.HINTS :]
-            hints = {
-                peer.state.host: peer.state.state_address for peer in known
-            }
+        known = list(self.others.peers.values())[-mesh.HINTS :]
+        hints = {peer.state.host: peer.state.state_address for peer in known}
         return messages.HostState(
             host=self.name,
-            incarnation=ids.Incarnation(f'{self.name}/1'),
+            incarnation=self.process,
             state_address=str(self.address),
             peers_address=str(self.address),
             number=self.number,
@@ -83,10 +82,24 @@
             ranks={},
             hints=hints,
             asked=asked,
-            group_asked=group_asked,
+            group_asked=self.shared.sum_group_asked(asked),
             group_used=group_used,
         )
 
+    def make_change(self) -> messages.HostChange:
+        self.number += 1
+        return messages.HostChange(
+            process=messages.digest_process(self.process),
+            number=self.number,
+            is_stopping=False,
+            reads_store=True,
+            positions=[1, 1],
+            running={},
+            usage=dict(self.shared.buckets.usage),
+            ranks={},
+            answer_ages=[],
+        )
+
     def choose_far(self) -> list[addresses.Address]:
         peers = self.others.peers
         if not self.turn:
@@ -95,9 +108,11 @@
             return []
         return [peers[self.turn.pop()].address]
 
-    def take(self, state: messages.HostState, now: float) -> None:
-        self.others.take(state, now)
-        self.shared.hear(state, now)
+    def take(self, message: object, now: float) -> None:
+        if isinstance(message, messages.HostChange):
+            self.others.take_change(message, now)
+        elif isinstance(message, messages.HostState):
+            self.others.take(message, now)
 
 
 class Play:
@@ -141,7 +156,6 @@
             if host is None:
                 continue
             if kind == 'state':
-                assert isinstance(item, messages.HostState)
                 host.take(item, now)
             elif kind == 'ask':
                 self.ask(host, now)
@@ -161,7 +175,9 @@
         )
         shared = allowances.Allowances(self.load.slack, others, now)
         name = ids.Host(f'host-{address.port}')
-        self.hosts[address] = Host(name, address, others, shared)
+        process = ids.make_incarnation(name, str(address), now)
+        others.on_state = shared.hear
+        self.hosts[address] = Host(name, address, others, shared, process)
         self.plan(
             now + self.spread.uniform(*LIST_TIMES), 'list', address, None
         )
@@ -187,18 +203,18 @@
         peers = list(host.others.peers.values())
         near = [peer.address for peer in peers if peer.is_near]
         if kind == 'near':
-            scope = mesh.Scope.CHANGES
-            if self.spread.random() < 0.1:
-                scope = mesh.Scope.WHOLE
             pause = max(0.01, mesh.INTERVAL_A_SQUARE * len(near) ** 2)
-            self.send(host, host.make_state(now, scope), near, now)
+            change: object = host.make_change()
+            if self.spread.random() < WHOLE_PART:
+                change = host.make_state(now, mesh.Scope.WHOLE)
+            self.send(host, change, near, now)
         elif kind == 'far':
             pause = mesh.FAR_INTERVAL
             state = host.make_state(now, mesh.Scope.FAR)
             self.send(host, state, host.choose_far(), now)
         else:
             pause = mesh.SEARCH_INTERVAL
-            state = host.make_state(now, mesh.Scope.WHOLE)
+            state = host.make_state(now, mesh.Scope.SOUGHT)
             sought = [
                 item
                 for item in self._addresses
@@ -210,7 +226,7 @@
     def send(
         self,
         host: Host,
-        state: messages.HostState,
+        state: object,
         targets: list[addresses.Address],
         now: float,
     ) -> None:
--- a/tests/test_foreign_messages.py
+++ b/tests/test_foreign_messages.py
@@ -47,6 +47,22 @@
     return messages.HostState(**(fields | changes))
 
 
+def make_change(**changes: ty.Any) -> messages.HostChange:
+    """Return a change of that host, with other fields if given."""
+    fields: dict[str, ty.Any] = {
+        'process': messages.digest_process(ids.Incarnation('host-2.1')),
+        'number': 2,
+        'is_stopping': False,
+        'reads_store': True,
+        'positions': [3, 4],
+        'running': {17: 2},
+        'usage': {'festin': 10.0},
+        'ranks': {'pool': [waiting.Rank(0, 0, False, 1.0)]},
+        'answer_ages': [],
+    }
+    return messages.HostChange(**(fields | changes))
+
+
 def pack_state(**changes: ty.Any) -> bytes:
     return messages.registry.encode(make_state(**changes))
 
@@ -79,6 +95,17 @@
     {'positions': [2**64 - 1, 4]},
     {'number': -1},
 )
+BAD_CHANGES: ty.Final[tuple[dict[str, ty.Any], ...]] = (
+    {'process': -1},
+    {'process': 2**64 - 1, 'number': -1},
+    {'running': {17: -5}},
+    {'running': {-17: 5}},
+    {'usage': {'festin': NAN}},
+    {'usage': {'festin': -INFINITE}},
+    {'ranks': {'pool': [waiting.Rank(0, 0, False, NAN)]}},
+    {'positions': [-1, 4]},
+    {'answer_ages': [2**63]},
+)
 BAD_DATA: ty.Final = (
     b'',
     b'\xc1',
@@ -97,6 +124,8 @@
     msgpack.packb([1, 'x' * 60_000]),
     msgpack.packb([99, 'x' * 60_000]),
     msgpack.packb([2, [0, 0]]),
+    # A name where a digest belongs.
+    msgpack.packb([5, 1, 2, False, True, [3, 4], {'r1': 5}, {}, {}, []]),
 )
 
 
@@ -109,12 +138,22 @@
         except errors.Refused as error:
             self.assertLess(len(str(error)), 1000)
             return
-        self.assertNotIsInstance(found, messages.HostState, repr(found))
+        states = (messages.HostState, messages.HostChange)
+        self.assertNotIsInstance(found, states, repr(found))
 
     def test_good_state(self) -> None:
         found = messages.registry.decode(pack_state())
         self.assertEqual(make_state(), found)
 
+    def test_good_change(self) -> None:
+        data = messages.registry.encode(make_change())
+        self.assertEqual(make_change(), messages.registry.decode(data))
+
+    def test_bad_changes(self) -> None:
+        for changes in BAD_CHANGES:
+            data = messages.registry.encode(make_change(**changes))
+            self.assertRaises(errors.Refused, messages.registry.decode, data)
+
     def test_bytes(self) -> None:
         for data in BAD_DATA:
             self.check_refused(data)
@@ -137,6 +176,7 @@
         found.make_state = lambda number, scope, hints: make_state(
             host='host-1', number=number, hints=hints
         )
+        found.make_change = lambda number: make_change(number=number)
         return found
 
     def test_a_bad_message_does_not_end_the_mesh(self) -> None:
@@ -153,6 +193,10 @@
                 for data in (
                     *BAD_DATA,
                     *(pack_state(**changes) for changes in BAD_FIELDS),
+                    *(
+                        messages.registry.encode(make_change(**changes))
+                        for changes in BAD_CHANGES
+                    ),
                 ):
                     sender.sendto(data, ('127.0.0.1', port))
                 number = 0
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -547,6 +547,31 @@
         self.assertEqual(6, self.board.positions[dialect.RUNNERS])
 
 
+def make_change(
+    incarnation: str,
+    number: int,
+    running: dict[str, int] | None = None,
+    usage: dict[str, float] | None = None,
+) -> messages.HostChange:
+    return messages.HostChange(
+        process=messages.digest_process(ids.Incarnation(incarnation)),
+        number=number,
+        is_stopping=False,
+        reads_store=True,
+        positions=[1, 1],
+        running={
+            messages.digest_start(gatewayparts.make_start(name)): count
+            for name, count in (running or {}).items()
+        },
+        usage={
+            ids.Organisation(name): units
+            for name, units in (usage or {}).items()
+        },
+        ranks={},
+        answer_ages=[],
+    )
+
+
 class TestMesh(testtools.TestCase):
     """States of hosts."""
 
@@ -604,6 +629,61 @@
         found.take(self.make_state(10, {'r1': 3}), 0.2)
         self.assertEqual(1, found.count_running(gatewayparts.make_start('r1')))
 
+    def test_change_counts_from_the_state_before(self) -> None:
+        found = self.make_mesh()
+        found.take(self.make_state(1, {'r1': 3}), 0.0)
+        change = make_change('b/1', 2, {'r1': 1, 'r2': 2}, {'festin': 7.0})
+        found.take_change(change, 0.1)
+        self.assertEqual(1, found.count_running(gatewayparts.make_start('r1')))
+        self.assertEqual(2, found.count_running(gatewayparts.make_start('r2')))
+        peer = found.peers[ids.Host('b')]
+        self.assertEqual({'festin': 7.0}, peer.state.usage)
+
+    def test_change_leaves_totals_that_it_does_not_name(self) -> None:
+        # An organisation was handed out its whole use a second time: a
+        # message without its name made its total start anew.
+        found = self.make_mesh()
+        state = self.make_state(1, {})
+        usage = {ids.Organisation('festin'): 5.0}
+        found.take(dataclasses.replace(state, usage=usage), 0.0)
+        found.take_change(make_change('b/1', 2, {}, {'ishami': 1.0}), 0.1)
+        peer = found.peers[ids.Host('b')]
+        self.assertEqual({'festin': 5.0, 'ishami': 1.0}, peer.state.usage)
+
+    def test_change_of_a_process_that_was_not_heard_is_left_out(self) -> None:
+        found = self.make_mesh()
+        found.take_change(make_change('b/1', 2, {'r1': 1}), 0.0)
+        self.assertEqual({}, found.peers)
+
+    def test_change_of_an_ended_process_is_left_out(self) -> None:
+        found = self.make_mesh()
+        found.take(self.make_state(9, {'r1': 3}), 0.0)
+        found.take(self.make_state(1, {'r1': 1}, 'b/2'), 0.1)
+        found.take_change(make_change('b/1', 10, {'r1': 5}), 0.2)
+        self.assertEqual(1, found.count_running(gatewayparts.make_start('r1')))
+
+    def test_change_that_arrives_late_is_left_out(self) -> None:
+        found = self.make_mesh()
+        found.take(self.make_state(3, {'r1': 3}), 0.0)
+        found.take_change(make_change('b/1', 2, {'r1': 5}), 0.1)
+        self.assertEqual(3, found.count_running(gatewayparts.make_start('r1')))
+
+    def test_change_takes_a_third_of_the_bytes(self) -> None:
+        # Messages between hosts were half of the bytes between failure
+        # domains on a quiet day: 271 bytes after each change, and now 77.
+        place = '10.1.0.25:7600'
+        process = ids.make_incarnation(ids.Host('edge-a-1'), place, 123.4)
+        running = {f'i-7f3a91c{number}': 2 for number in range(5)}
+        state = dataclasses.replace(
+            self.make_state(1, running, process),
+            state_address=place,
+            peers_address=place,
+            usage={ids.Organisation(f'hule93{n}'): 1e6 for n in range(5)},
+        )
+        change = make_change(process, 2, running, {'hule931': 1000000})
+        whole = len(messages.registry.encode(state))
+        self.assertLess(len(messages.registry.encode(change)), whole / 3)
+
     def test_host_that_looks_for_a_dead_one_goes_on_telling(self) -> None:
         # A host fell silent for its peers. It looked for a host that is
         # down while it told the others its state, and the two met on one
@@ -632,6 +712,8 @@
         second.make_state = lambda number, scope, hints: make(
             'b', number, hints
         )
+        first.make_change = lambda number: make_change('a/1', number)
+        second.make_change = lambda number: make_change('b/1', number)
         numbers: list[int] = []
         second.on_state = lambda state, now: numbers.append(state.number)
 
