Tell hosts that start what is left of each allowance, and how many hosts there are

After all hosts were lost, 18 requests of the next 0.7 s were refused (silent share 0.889): the price of the cold start's mend. And hosts that restart again and again overran (23,800 units of 21,800): a new host took what another new one had handed out for something of the past. Ruled out: a limit really passed; the groups (there is one).

Change: whole states carry the number of hosts that a settled host counts on, and, while a near peer is new, the level of each bucket, which that peer takes. Use of a peer that says it is new is of late. A quarter of the operators' slack may be handed out by hosts that start, before they hear each other.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -136,6 +136,12 @@
             self.past += use.units
             self._settle()
 
+    def adopt(self, level: float) -> None:
+        """Take the level that a peer states for the bucket that all share."""
+        self.level = level
+        self.assumed = 0.0
+        self.first_share = 1.0
+
     def assume(self, units: float) -> None:
         """Add first units; nobody has said yet that they are gone."""
         self.level += units
@@ -173,6 +179,10 @@
         self._asked = averages.Rates(ASKED_TIME)
         # The largest request of late, and when it came.
         self._largest: dict[ids.Organisation, tuple[float, float]] = {}
+        # Levels that peers stated, and when, for buckets that do not exist
+        # here yet; and the organisations whose level was stated.
+        self._stated: dict[ids.Organisation, tuple[float, float]] = {}
+        self._adopted: set[ids.Organisation] = set()
         # What each peer's process said last.
         self._heard: dict[ids.Incarnation, Usage] = {}
 
@@ -263,22 +273,58 @@
         """Return the units that an organisation asks for a second."""
         return self._asked.find(name, now)
 
+    def adopt(self, levels: Usage, now: float) -> None:
+        """Take the levels that a peer states, if this process is young.
+
+        Without them, a process that starts takes its buckets for empty or
+        half full. Empty, it refused organisations that asked for half of what
+        they may, for five seconds; half full, hosts that restarted one after
+        another handed out 23,800 units in 8 s where 21,800 were allowed.
+        """
+        if now - self._started_at > YOUNG:
+            return
+        for name, level in levels.items():
+            if name in self._adopted:
+                continue
+            self._adopted.add(name)
+            bucket = self._buckets.get(name)
+            if bucket is None:
+                self._stated[name] = (level, now)
+                self._kept.pop(name, None)
+                continue
+            bucket.refill(now)
+            bucket.adopt(level)
+
+    def list_levels(self, now: float) -> Usage:
+        """Return the units that are left in each bucket."""
+        for bucket in self._buckets.values():
+            bucket.refill(now)
+        return {name: item.level for name, item in self._buckets.items()}
+
     def skip(self, peer: ids.Incarnation, usage: Usage) -> None:
         """Remember a peer's totals whose use counts elsewhere."""
         self._heard[peer] = usage
 
-    def hear(self, peer: ids.Incarnation, usage: Usage, now: float) -> Usage:
+    def hear(
+        self,
+        peer: ids.Incarnation,
+        usage: Usage,
+        now: float,
+        is_new: bool = False,
+    ) -> Usage:
         """Take out what a peer handed out since it was heard last.
 
-        Returns what it handed out lately, as far as that is known.
+        ``is_new`` says that it has started a moment ago, so that all of it
+        is of late. Returns what was handed out lately, as far as that is
+        known.
         """
         lately = Usage()
         before = self._heard.get(peer)
         self._heard[peer] = usage
         sign = _Sign.MORE
         if before is None:
-            is_young = now - self._started_at <= YOUNG
-            sign = _Sign.PAST if is_young else _Sign.FIRST
+            is_past = now - self._started_at <= YOUNG and not is_new
+            sign = _Sign.PAST if is_past else _Sign.FIRST
         for name, total in usage.items():
             units = total - (before.get(name, 0.0) if before else 0.0)
             if units == 0.0:
@@ -336,6 +382,10 @@
             bucket = _Bucket(0.0, self._started_at)
             self._buckets[organisation.name] = bucket
             is_young = True
+            stated = self._stated.pop(organisation.name, None)
+            if stated is not None:
+                bucket.adopt(stated[0])
+                bucket.updated_at = stated[1]
         if is_young and 1 - silent_share > bucket.first_share:
             # Of the first units, too, hosts that are not heard have their
             # share: forty hosts that started together handed a first part out
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
@@ -42,10 +42,14 @@
 # before this host hears of it: the time between its messages, and the lag of
 # the average that it states.
 UNSEEN_TIME = 1.0
-# Share of the operators' slack that bears what is handed out unseen. With the
-# quarter that buckets hold beyond their burst, a quarter is left for what
-# restarts and silent hosts add.
+# Share of the operators' slack that bears what is handed out unseen. A quarter
+# is what buckets hold beyond their burst, and the last one is for hosts that
+# start.
 UNSEEN_SHARE = 0.5
+# Share of the operators' slack that all hosts together may hand out before
+# they hear each other when they start at once: they know nothing of what
+# their buckets hold, and callers come back in the first second.
+AHEAD_SHARE = 0.25
 
 
 @ty.final
@@ -90,9 +94,8 @@
         self, organisation: catalogue.Organisation, now: float
     ) -> Shares:
         """Return which part of an allowance may be used here."""
-        is_new = now - self._started_at < UNLISTED_TIME
         silent = self._others.find_unheard_share()
-        if is_new and not self._is_listed:
+        if not self._knows_hosts(now):
             silent = 1.0
         return Shares(silent, self._find_group_part(organisation, now))
 
@@ -139,6 +142,21 @@
         """Return the units handed out a second in this host's group."""
         return self._used.list_rates(now)
 
+    def list_levels(self, now: float) -> quotas.Usage:
+        """Return what is left in the buckets, if a near peer is new.
+
+        Nothing while this host does not know it well itself.
+        """
+        if not self._others.has_new_peer(now) or self.count_hosts(now) == 0:
+            return {}
+        return self.buckets.list_levels(now)
+
+    def count_hosts(self, now: float) -> int:
+        """Return the hosts counted on; 0 while some may not be known."""
+        if now - self._started_at < UNSETTLED_TIME:
+            return 0
+        return self._others.count_hosts()
+
     def sum_group_asked(self, asked: quotas.Usage) -> quotas.Usage:
         """Return the units asked for a second in this host's group."""
         total = collections.Counter(asked)
@@ -154,10 +172,12 @@
             group = self._others.partition.find_group(state.host)
             self._group_uses.hear(group, state.group_asked, state.group_used)
             return
-        lately = self.buckets.hear(state.incarnation, state.usage, now)
+        self.buckets.adopt(state.levels, now)
+        is_new = state.hosts == 0
+        lately = self.buckets.hear(state.incarnation, state.usage, now, is_new)
         if not self._keeps_parts(now):
             return
-        self._parts.hear(state.incarnation, state.usage, now)
+        self._parts.hear(state.incarnation, state.usage, now, is_new)
         for name, units in lately.items():
             self._used.note(name, units, now)
 
@@ -166,6 +186,13 @@
         self.buckets.forget(process)
         self._parts.forget(process)
 
+    def _knows_hosts(self, now: float) -> bool:
+        return (
+            self._is_listed
+            or self._others.is_told_of_all()
+            or now - self._started_at >= UNLISTED_TIME
+        )
+
     def _is_divided(self) -> bool:
         return self._others.partition.count > 1
 
@@ -188,9 +215,10 @@
         now: float,
     ) -> tuple[quotas.Terms, quotas.Terms]:
         # For the whole allowance, and for this group's part of it.
-        part = quotas.Terms(shares.silent, shares.group_part)
+        ahead = self._find_ahead(now)
+        part = quotas.Terms(shares.silent, shares.group_part, reserve=-ahead)
         if not self._is_divided():
-            return quotas.Terms(shares.silent), part
+            return quotas.Terms(shares.silent, reserve=-ahead), part
         name, count = organisation.name, self._others.partition.count
         asked = self._group_uses.sum_asked(name, count)
         if now < self._find_settled_time():
@@ -202,10 +230,19 @@
             silent_share=shares.silent,
             drain=self._group_uses.sum_used(name, count),
             # The operators' slack bears the first of it.
-            reserve=max(0.0, unseen - self._slack * UNSEEN_SHARE),
+            reserve=max(0.0, unseen - self._slack * UNSEEN_SHARE) - ahead,
         )
         return whole, part
 
+    def _find_ahead(self, now: float) -> float:
+        # Units that a process that has just started may hand out before it
+        # has heard the others.
+        if not self._knows_hosts(now):
+            return 0.0
+        if now - self._started_at >= UNSETTLED_TIME:
+            return 0.0
+        return self._slack * AHEAD_SHARE / self._others.count_all()
+
     def _charge(
         self, organisation: catalogue.Organisation, units: float, now: float
     ) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -57,6 +57,9 @@
 # Seconds between whole states to near peers. What the others leave out serves
 # averages over seconds, or newcomers.
 WHOLE_INTERVAL = 0.5
+# Seconds for which a process that was first heard is new: it gets at least two
+# whole states in this time.
+NEW_TIME = 1.5
 # Seconds between tries to reach hosts that were never heard.
 SEARCH_INTERVAL = 0.5
 # Tries after which a host that never answered is given up.
@@ -95,6 +98,8 @@
     running: dict[int, int]
     # Is in this host's group.
     is_near: bool
+    # When this process of the host was first heard.
+    first_at: float
     # When it came into the group: before, it sent rarely.
     near_at: float = 0.0
     # Units asked for a second there, by the last state that said so.
@@ -192,11 +197,28 @@
         """Return the share of this host's group that may act unheard.
 
         Beside the silent ones these are hosts that this one looks for and has
-        never heard: one that started a moment ago knows nobody.
+        never heard, or that its peers count: one that started a moment ago
+        knows nobody.
         """
         known = 1 + len(self.peers)
-        return 1 - (1 - self._silent_share) * known / (
-            known + len(self._sought)
+        return 1 - (1 - self._silent_share) * known / self.count_all()
+
+    def count_all(self) -> int:
+        """Return the hosts that there may be, heard or not."""
+        told = max(
+            (peer.state.hosts for peer in self.peers.values()), default=0
+        )
+        return max(1 + len(self.peers) + len(self._sought), told)
+
+    def is_told_of_all(self) -> bool:
+        """Tell whether a peer has said how many hosts there are."""
+        return any(peer.state.hosts > 0 for peer in self.peers.values())
+
+    def has_new_peer(self, now: float) -> bool:
+        """Tell whether a near peer was first heard a moment ago."""
+        return any(
+            peer.is_near and now - peer.first_at < NEW_TIME
+            for peer in self.peers.values()
         )
 
     def count_running(self, runner: ids.RunnerStart) -> int:
@@ -270,6 +292,7 @@
             answer_ages=change.answer_ages,
             hints={},
             asked={},
+            levels={},
         )
         peer = self._make_peer(state, change.running, now)
         self._file(peer, known, now)
@@ -281,6 +304,8 @@
             eliot.log_message('gateway:peer_heard', peer=host)
         if known is not None:
             peer.near_at = known.near_at
+            if known.state.incarnation == peer.state.incarnation:
+                peer.first_at = known.first_at
             peer.asked = peer.state.asked or known.asked
         self.peers[host] = peer
         self._sought.pop(peer.address, None)
@@ -324,7 +349,14 @@
                 ranks[service] = [rank.shift(now) for rank in found]
         address = messages.read_address(state.state_address)
         return Peer(
-            state, address, now, ranks, running, is_near, asked=state.asked
+            state=state,
+            address=address,
+            heard_at=now,
+            ranks=ranks,
+            running=running,
+            is_near=is_near,
+            first_at=now,
+            asked=state.asked,
         )
 
     def _divide(self, now: float) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -98,6 +98,10 @@
 Age = ty.Annotated[int, pydantic.Field(ge=-LARGEST, le=LARGEST)]
 # Total of units; a request that is given back may leave it a hair below 0.
 Units = ty.Annotated[float, pydantic.Field(ge=-1.0, le=LARGEST_UNITS)]
+# Units left in a bucket; below zero after an overrun.
+Level = ty.Annotated[
+    float, pydantic.Field(ge=-LARGEST_UNITS, le=LARGEST_UNITS)
+]
 # Units a second.
 Rate = ty.Annotated[float, pydantic.Field(ge=0.0, le=LARGEST_UNITS)]
 AddressText = ty.Annotated[
@@ -159,6 +163,14 @@
     group_used: dict[ids.Organisation, Rate] = dataclasses.field(
         default_factory=dict
     )
+    # Hosts that this one counts on, itself included; 0 from one that has
+    # started a moment ago and may not know all of them.
+    hosts: Count = 0
+    # Units left in each organisation's bucket; only while a near peer is new,
+    # which knows nothing of what was handed out before it started.
+    levels: dict[ids.Organisation, Level] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @registry.register(2)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
@@ -72,8 +72,10 @@
             running = dict(self._schedule.places.running)
             ranks = self._list_ranks(now)
             ages = self._list_near_ages(now, is_whole=True)
+        levels = quotas.Usage()
         if scope is mesh.Scope.WHOLE:
             self._told_usage = usage
+            levels = _round_units(self._shared.list_levels(now))
         return messages.HostState(
             host=self._config.host,
             incarnation=self._incarnation,
@@ -92,6 +94,8 @@
             spare=spare,
             answer_ages=ages,
             group_used=group_used,
+            hosts=self._shared.count_hosts(now),
+            levels=levels,
         )
 
     def make_change(self, number: int) -> messages.HostChange:
--- a/tests/manyhosts.py
+++ b/tests/manyhosts.py
@@ -84,6 +84,8 @@
             asked=asked,
             group_asked=self.shared.sum_group_asked(asked),
             group_used=group_used,
+            hosts=self.shared.count_hosts(now),
+            levels=self.shared.list_levels(now),
         )
 
     def make_change(self) -> messages.HostChange:
--- a/tests/test_foreign_messages.py
+++ b/tests/test_foreign_messages.py
@@ -80,6 +80,10 @@
     {'asked': {'festin': NAN}},
     {'asked': {'festin': -5.0}},
     {'group_asked': {'festin': INFINITE}},
+    {'group_used': {'festin': NAN}},
+    {'levels': {'festin': NAN}},
+    {'levels': {'festin': -INFINITE}},
+    {'hosts': -1},
     # An order that is none.
     {'ranks': {'pool': [waiting.Rank(0, 0, False, NAN)]}},
     # Half of the message is used, the rest is not.
--- a/tests/test_gateway_allowances.py
+++ b/tests/test_gateway_allowances.py
@@ -23,6 +23,8 @@
 FIRST_STOP = 3.0
 STOP_INTERVAL = 1.0
 AWAY_S = 0.45
+# Seconds between two stops of a host that stops again and again.
+OFTEN_S = 4.65
 
 
 @dataclasses.dataclass
@@ -38,6 +40,15 @@
         self.buckets = quotas.Quotas(SLACK, now)
         self.started_at = now
 
+    def is_new(self, now: float) -> bool:
+        return now - self.started_at < 3.0
+
+    def tell_levels(self, now: float) -> quotas.Usage:
+        # What a host that has run for a while tells a new one.
+        if self.is_new(now):
+            return {}
+        return self.buckets.list_levels(now)
+
     def find_incarnation(self) -> ids.Incarnation:
         return ids.Incarnation(f'{self.number}/{self.started_at}')
 
@@ -46,6 +57,14 @@
         return stopped_at <= now < stopped_at + AWAY_S
 
 
+class OftenStopped(Host):
+    """A host that stops again and again."""
+
+    def is_away(self, now: float) -> bool:
+        first = FIRST_STOP + OFTEN_S / HOSTS * self.number
+        return now >= first and (now - first) % OFTEN_S < AWAY_S
+
+
 class TestRollingRestart(testtools.TestCase):
     """An organisation asks every host for many times its allowance."""
 
@@ -54,16 +73,24 @@
         # in turn was stopped and came back with half a bucket, which its
         # peers had handed out already; and the peers, whose buckets were
         # empty, did not count what it handed out before they heard it first.
-        runs = self.play()
-        most = max(
+        self.assertLessEqual(self.find_most(Host), ALLOWED)
+
+    def test_hosts_that_stop_again_and_again(self) -> None:
+        # The same, with 23,800 units in 8 s where 21,800 are allowed: hosts
+        # that had just started took what other new ones had handed out for
+        # something of the past, and knew nothing of their peers' debts.
+        self.assertLessEqual(self.find_most(OftenStopped), ALLOWED)
+
+    def find_most(self, kind: type[Host]) -> float:
+        """Return the most units that ran within a window."""
+        runs = self.play([kind(number) for number in range(HOSTS)])
+        return max(
             sum(COST for other in runs if at <= other <= at + WINDOW_S)
             for at in runs
         )
-        self.assertLessEqual(most, ALLOWED)
 
-    def play(self) -> list[float]:
+    def play(self, hosts: list[Host]) -> list[float]:
         """Return when the requests ran."""
-        hosts = [Host(number) for number in range(HOSTS)]
         gone: set[int] = set()
         runs: list[float] = []
         for step in range(1500):
@@ -87,5 +114,10 @@
         for host in hosts:
             for peer in hosts:
                 if peer is not host:
-                    usage = dict(peer.buckets.usage)
-                    host.buckets.hear(peer.find_incarnation(), usage, now)
+                    host.buckets.adopt(peer.tell_levels(now), now)
+                    host.buckets.hear(
+                        peer.find_incarnation(),
+                        dict(peer.buckets.usage),
+                        now,
+                        peer.is_new(now),
+                    )
