--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
@@ -85,7 +85,9 @@
     tier: ids.Tier
     route_tier: ids.Tier
     arrived_at: float
-    # Latest start with which the objective is met.
+    # When the objective is over.
+    due_at: float
+    # Latest start with which the objective is met at a usual runner.
     on_time_by: float
     # Latest start that is of any use to the caller.
     useful_until: float
