--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -95,7 +95,6 @@
         tier=ids.Tier(number % 3),
         route_tier=ids.Tier(number % 3),
         arrived_at=0.0,
-        due_at=1e6 + 1.0,
         on_time_by=1e6,
         useful_until=1e9,
         ends_at=1e9,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
@@ -3,11 +3,6 @@
 Among the runners with a free place, the one that is expected to finish the
 request first, by its learned speed, by what it keeps of the prompt and by
 how full it is. Runners that fail are used only if no other has a place.
-
-Under overload the free places are those of slow runners: a third of the
-runners are four times slower, hold a third of the places and do a tenth of the
-work. A request that would be late there waits for a runner at which it can
-still be on time, and takes the slow one when that has become too late.
 """
 
 import dataclasses
@@ -29,15 +24,12 @@
 # compute the same runner, so they share its cache without a message. Small
 # enough that speed and load go first.
 HOME_PREFERENCE = 0.5
-# A first event is taken to be on time at a runner if this many times its
-# expected seconds are left: other prompts are read in between.
-FIRST_MARGIN = 1.5
 
 
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Option:
-    """A runner that a request may go to."""
+    """A runner with a free place."""
 
     runner: ids.RunnerStart
     # Places taken and in all.
@@ -50,53 +42,28 @@
 
 
 def choose_runner(
-    ticket: waiting.Ticket,
-    options: list[Option],
-    full: list[Option],
-    now: float,
+    ticket: waiting.Ticket, options: list[Option]
 ) -> Option | None:
-    """Return the best runner; None if there is none, or one to wait for.
-
-    ``full`` are the runners that have no free place now.
-    """
-    open_options = _list_open(ticket, options)
+    """Return the best runner; None if there is no option."""
+    open_options = [
+        option for option in options if option.runner not in ticket.tried
+    ]
     if not open_options:
         return None
-    best = _find_best(ticket, open_options, now)
-    if now > ticket.on_time_by or _is_on_time(ticket, best, now):
-        return best
-    if any(_is_on_time(ticket, one, now) for one in _list_open(ticket, full)):
-        return None
-    return best
-
-
-def _list_open(ticket: waiting.Ticket, options: list[Option]) -> list[Option]:
-    found = [item for item in options if item.runner not in ticket.tried]
-    sound = [option for option in found if not option.is_avoided]
-    return sound or found
-
-
-def _find_best(
-    ticket: waiting.Ticket, options: list[Option], now: float
-) -> Option:
-    home = None
+    sound = [option for option in open_options if not option.is_avoided]
     if ticket.last_part:
         home = max(
-            options,
+            open_options,
             key=lambda option: _rate_home(ticket.last_part, option.runner),
         ).runner
-    on_time = [item for item in options if _is_on_time(ticket, item, now)]
+    else:
+        home = None
     return min(
-        on_time or options,
+        sound or open_options,
         key=lambda option: _predict(ticket, option, option.runner == home),
     )
 
 
-def _is_on_time(ticket: waiting.Ticket, option: Option, now: float) -> bool:
-    first = option.pace.find_first(ticket.prompt_tokens)
-    return now + first * FIRST_MARGIN <= ticket.due_at
-
-
 def _predict(ticket: waiting.Ticket, option: Option, is_home: bool) -> float:
     read = option.pace.read_s * ticket.prompt_tokens
     saved = 0.0
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -334,23 +334,19 @@
     def _choose(
         self, ticket: waiting.Ticket, view: '_View', now: float
     ) -> placement.Option | None:
-        free: list[placement.Option] = []
-        full: list[placement.Option] = []
-        for entry in view.entries:
-            count = view.free[entry.start]
-            option = placement.Option(
+        options = [
+            placement.Option(
                 runner=entry.start,
-                used=entry.slots - count,
+                used=entry.slots - view.free[entry.start],
                 slots=entry.slots,
                 pace=self._paces.find(entry.service, entry.start),
                 is_avoided=entry.start in view.avoided,
                 has_part=self._has_part(ticket.last_part, entry.start, now),
             )
-            if count > 0:
-                free.append(option)
-            else:
-                full.append(option)
-        return placement.choose_runner(ticket, free, full, now)
+            for entry in view.entries
+            if view.free[entry.start] > 0
+        ]
+        return placement.choose_runner(ticket, options)
 
     def _has_part(
         self, part: str, runner: ids.RunnerStart, now: float
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
@@ -85,9 +85,7 @@
     tier: ids.Tier
     route_tier: ids.Tier
     arrived_at: float
-    # When the objective is over.
-    due_at: float
-    # Latest start with which the objective is met at a usual runner.
+    # Latest start with which the objective is met.
     on_time_by: float
     # Latest start that is of any use to the caller.
     useful_until: float
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -236,7 +236,7 @@
         began = self._parts.habits.find_beginning(
             route.name, self._asked.given_s, self._asked.arrived_at
         )
-        due_at = began + route.objective_s
+        on_time_by = began + route.objective_s - first
         useful_until = self._find_useful_end() - first
         tier = route.tier
         if self._asked.organisation is not None:
@@ -251,8 +251,7 @@
             tier=tier,
             route_tier=route.tier,
             arrived_at=now,
-            due_at=due_at,
-            on_time_by=due_at - first,
+            on_time_by=on_time_by,
             useful_until=useful_until,
             ends_at=self._asked.limit_at,
             prompt_tokens=head.prompt_tokens,
--- a/tests/groupload.py
+++ b/tests/groupload.py
@@ -158,7 +158,6 @@
         tier=ids.Tier(0),
         route_tier=ids.Tier(0),
         arrived_at=now,
-        due_at=now + PATIENCE + 1.0,
         on_time_by=now + PATIENCE,
         useful_until=now + PATIENCE,
         ends_at=now + 10.0,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -80,7 +80,6 @@
             tier=ids.Tier(tier),
             route_tier=ids.Tier(tier),
             arrived_at=now,
-            due_at=now + 1 if on_time_by is None else on_time_by + 1.0,
             on_time_by=now + 1 if on_time_by is None else on_time_by,
             useful_until=now + 3 if useful_until is None else useful_until,
             ends_at=now + 15,
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -279,7 +279,6 @@
             tier=ids.Tier(0),
             route_tier=ids.Tier(0),
             arrived_at=0.0,
-            due_at=1.0 + 1.0,
             on_time_by=1.0,
             useful_until=1.0,
             ends_at=10.0,
