--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
@@ -1,9 +1,8 @@
 """Which runner a request goes to.
 
 Among the runners with a free place, the one that is expected to finish the
-request first, by its learned speed, by what it keeps of the prompt, by the
-prompts that it has yet to read and by how full it is. Runners that fail are
-used only if no other has a place.
+request first, by its learned speed, by what it keeps of the prompt and by
+how full it is. Runners that fail are used only if no other has a place.
 """
 
 import dataclasses
@@ -40,8 +39,6 @@
     is_avoided: bool
     # This host sent the prompt's last part there a short time ago.
     has_part: bool
-    # Tokens of other prompts that it has yet to read.
-    backlog: float = 0.0
 
 
 def choose_runner(
@@ -76,8 +73,7 @@
         saved = read * HOME_PREFERENCE
     load = 1 + FULL_SLOWDOWN * option.used / option.slots
     rest = option.pace.write_s * ticket.events
-    ahead = option.pace.read_s * option.backlog
-    return option.pace.start_s + ahead + read - saved + rest * load
+    return option.pace.start_s + read - saved + rest * load
 
 
 def _rate_home(part: str, start: ids.RunnerStart) -> int:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -17,7 +17,6 @@
 import eliot
 
 from apricotlanding import ids
-from apricotlandingd.gateway.decisions import backlogs
 from apricotlandingd.gateway.decisions import placement
 from apricotlandingd.gateway.decisions import places
 from apricotlandingd.gateway.decisions import spares
@@ -55,9 +54,6 @@
     def count_running(self, runner: ids.RunnerStart) -> int:
         """Return the requests that heard peers have at a runner."""
 
-    def count_backlog(self, runner: ids.RunnerStart) -> float:
-        """Return the tokens that a runner has yet to read for heard peers."""
-
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         """Return what waits at heard peers, sorted."""
 
@@ -134,7 +130,6 @@
         self._spread = spread
         self._waiting: dict[ids.Pool, list[waiting.Ticket]] = {}
         self.places = places.Places()
-        self.backlogs = backlogs.Backlogs()
         self._loads: dict[ids.RunnerStart, _Load] = {}
         self._holds: dict[ids.Pool, float] = {}
         self._parts: collections.OrderedDict[
@@ -330,9 +325,7 @@
     def _give(self, ticket: waiting.Ticket, runner: ids.RunnerStart) -> None:
         self.leave(ticket)
         self.places.take(runner)
-        ahead = self._count_backlog(runner)
-        self.backlogs.add(ticket.attempt, runner, ticket.prompt_tokens)
-        ticket.decide(waiting.Grant(runner, ahead))
+        ticket.decide(waiting.Grant(runner))
 
     def _is_yield_over(self, service: ids.Pool, now: float) -> bool:
         since = self._yielded_at.setdefault(service, now)
@@ -349,7 +342,6 @@
                 pace=self._paces.find(entry.service, entry.start),
                 is_avoided=entry.start in view.avoided,
                 has_part=self._has_part(ticket.last_part, entry.start, now),
-                backlog=self._count_backlog(entry.start),
             )
             for entry in view.entries
             if view.free[entry.start] > 0
@@ -398,11 +390,6 @@
             )
             ticket.decide(waiting.Refusal(back, wait, before))
 
-    def _count_backlog(self, runner: ids.RunnerStart) -> float:
-        return self.backlogs.tokens[runner] + self._others.count_backlog(
-            runner
-        )
-
     def _count_free(self, entry: dialect.RunnerEntry, now: float) -> int:
         own = self.places.running[entry.start]
         others = self._others.count_running(entry.start)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/waiting.py
@@ -60,8 +60,6 @@
     """A place at a runner."""
 
     runner: ids.RunnerStart
-    # Tokens of other prompts that the runner had yet to read.
-    backlog: float = 0.0
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -94,10 +94,8 @@
     heard_at: float
     # Ranks of what waits there, on this host's clock.
     ranks: dict[ids.Pool, list[waiting.Rank]]
-    # Requests at runners, and what these have yet to read for the host, by
-    # the digest of the runner's start.
+    # Requests at runners, by the digest of the runner's start.
     running: dict[int, int]
-    backlogs: dict[int, int]
     # Is in this host's group.
     is_near: bool
     # When this process of the host was first heard.
@@ -132,7 +130,6 @@
         # message: summing all peers for each runner at each decision would
         # cost more than the decision.
         self._running: collections.Counter[int] = collections.Counter()
-        self._backlogs: collections.Counter[int] = collections.Counter()
         # Host of each process that was heard, by its digest.
         self._processes: dict[int, ids.Host] = {}
         self._silent_share = 0.0
@@ -228,11 +225,6 @@
         """Return the requests that heard peers have at a runner."""
         return self._running[messages.digest_start(runner)]
 
-    def count_backlog(self, runner: ids.RunnerStart) -> float:
-        """Return the tokens that a runner has yet to read for heard peers."""
-        found = self._backlogs[messages.digest_start(runner)]
-        return found * messages.BACKLOG_UNIT
-
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         """Return what waits at heard peers, sorted."""
         ranks: list[waiting.Rank] = []
@@ -270,8 +262,7 @@
         self._processes[messages.digest_process(state.incarnation)] = (
             state.host
         )
-        peer = self._make_peer(state, running, state.backlogs, now)
-        self._file(peer, known, now)
+        self._file(self._make_peer(state, running, now), known, now)
         for host, address in state.hints.items():
             if host != self._host and host not in self.peers:
                 self.seek(messages.read_address(address))
@@ -303,7 +294,7 @@
             asked={},
             levels={},
         )
-        peer = self._make_peer(state, change.running, change.backlogs, now)
+        peer = self._make_peer(state, change.running, now)
         self._file(peer, known, now)
         self.on_state(state, now)
 
@@ -324,8 +315,7 @@
         elif known.is_silent:
             self._count()
         elif peer.is_near:
-            _recount(self._running, known.running, peer.running)
-            _recount(self._backlogs, known.backlogs, peer.backlogs)
+            self._recount(known.running, peer.running)
 
     def drop_silent(self, now: float) -> None:
         """Leave silent peers out, and forget those that stay silent."""
@@ -350,11 +340,7 @@
             self._divide(now)
 
     def _make_peer(
-        self,
-        state: messages.HostState,
-        running: dict[int, int],
-        backlogs: dict[int, int],
-        now: float,
+        self, state: messages.HostState, running: dict[int, int], now: float
     ) -> Peer:
         is_near = self.partition.is_near(state.host)
         ranks: dict[ids.Pool, list[waiting.Rank]] = {}
@@ -368,7 +354,6 @@
             heard_at=now,
             ranks=ranks,
             running=running,
-            backlogs=backlogs,
             is_near=is_near,
             first_at=now,
             asked=state.asked,
@@ -391,9 +376,18 @@
                 hosts=self.count_hosts(),
             )
 
+    def _recount(
+        self,
+        before: dict[int, int],
+        after: dict[int, int],
+    ) -> None:
+        for runner, count in before.items():
+            self._running[runner] -= count
+        for runner, count in after.items():
+            self._running[runner] += count
+
     def _count(self) -> None:
         self._running.clear()
-        self._backlogs.clear()
         silent = near = 0
         for peer in self.peers.values():
             if not peer.is_near:
@@ -401,7 +395,6 @@
             near += 1
             if not peer.is_silent:
                 self._running.update(peer.running)
-                self._backlogs.update(peer.backlogs)
             elif not peer.state.is_stopping:
                 silent += 1
         self._silent_share = silent / (1 + near)
@@ -521,14 +514,3 @@
         hints = {peer.state.host: peer.state.state_address for peer in hinted}
         state = self.make_state(self._number, scope, hints)
         return messages.registry.encode(state)
-
-
-def _recount(
-    total: collections.Counter[int],
-    before: dict[int, int],
-    after: dict[int, int],
-) -> None:
-    for digest, count in before.items():
-        total[digest] -= count
-    for digest, count in after.items():
-        total[digest] += count
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -28,7 +28,6 @@
 from apricotlandingd.gateway.decisions import waiting
 
 __all__ = [
-    'BACKLOG_UNIT',
     'HostChange',
     'HostState',
     'RecordPage',
@@ -48,8 +47,6 @@
 LARGEST_UNITS: ty.Final = 1e15
 # Longest text of an address: an IPv6 number in brackets with its port.
 ADDRESS_LENGTH: ty.Final = 64
-# Tokens for which a backlog's number stands: most are told in three bytes.
-BACKLOG_UNIT: ty.Final = 100
 # Most other hosts that one message names; this project's hosts name three.
 MOST_HINTS: ty.Final = 16
 
@@ -166,8 +163,6 @@
     group_used: dict[ids.Organisation, Rate] = dataclasses.field(
         default_factory=dict
     )
-    # As in ``HostChange``.
-    backlogs: dict[Digest, Count] = dataclasses.field(default_factory=dict)
     # Hosts that this one counts on, itself included; 0 from one that has
     # started a moment ago and may not know all of them.
     hosts: Count = 0
@@ -228,6 +223,3 @@
     # As in ``HostState``.
     ranks: dict[ids.Pool, list[CheckedRank]]
     answer_ages: list[Age]
-    # Hundreds of prompt tokens that runners have yet to read, by the digest
-    # of the runner's start.
-    backlogs: dict[Digest, Count] = dataclasses.field(default_factory=dict)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
@@ -94,7 +94,6 @@
             spare=spare,
             answer_ages=ages,
             group_used=group_used,
-            backlogs={} if scope is mesh.Scope.FAR else self._list_backlogs(),
             hosts=self._shared.count_hosts(now),
             levels=levels,
         )
@@ -121,16 +120,8 @@
             },
             ranks=self._list_ranks(now),
             answer_ages=self._list_near_ages(now, is_whole=False),
-            backlogs=self._list_backlogs(),
         )
 
-    def _list_backlogs(self) -> dict[int, int]:
-        return {
-            messages.digest_start(start): tokens // messages.BACKLOG_UNIT
-            for start, tokens in self._schedule.backlogs.tokens.items()
-            if tokens >= messages.BACKLOG_UNIT
-        }
-
     def _list_near_ages(self, now: float, is_whole: bool) -> list[int]:
         return self._ages.list_near_ages(now, self._reads_store(now), is_whole)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -90,8 +90,6 @@
         # All work on the request; cancelled by ``end``.
         self._work = anyio.CancelScope()
         self._runner: ids.RunnerStart | None = None
-        # Tokens that this runner had yet to read when the request came.
-        self._backlog = 0.0
         self._detail = ''
 
     async def run(self) -> None:
@@ -173,7 +171,7 @@
                     )
                 )
                 return
-            end = await self._try(decision)
+            end = await self._try(decision.runner)
             if end is _End.DONE:
                 return
             if not self._may_send_again(end, clocks.read_monotonic()):
@@ -276,10 +274,8 @@
 
     # Sending.
 
-    async def _try(self, grant: waiting.Grant) -> _End:
+    async def _try(self, runner: ids.RunnerStart) -> _End:
         began_at = clocks.read_monotonic()
-        runner = grant.runner
-        self._backlog = grant.backlog
         self._runner = runner
         self._tried.add(runner)
         entry = self._parts.directory.find(runner)
@@ -298,7 +294,6 @@
 
     def _release(self, runner: ids.RunnerStart) -> None:
         now = clocks.read_monotonic()
-        self._parts.scheduler.backlogs.drop(self._asked.head.attempt)
         self._parts.scheduler.release(self._asked.service, runner, now)
         self._parts.on_change()
 
@@ -559,10 +554,7 @@
             entry.start,
             self._asked.head.prompt_tokens,
             seconds,
-            self._backlog,
         )
-        self._parts.scheduler.backlogs.drop(self._asked.head.attempt)
-        self._parts.on_change()
         if self._asked.head.prefix:
             self._parts.scheduler.note_part(
                 self._asked.head.prefix[-1][0], entry.start, now
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/pace.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/pace.py
@@ -24,9 +24,6 @@
 FIRST_START = 0.05
 FIRST_READ = 1.5e-5
 FIRST_WRITE = 0.02
-# Prompts of fewer tokens tell how long a start takes, longer ones how long a
-# token: reading this many takes a tenth of the usual start.
-SHORT_PROMPT = 500
 # Answers of fewer events say little about the time between two.
 FEW_EVENTS = 5
 # Seconds that a request of a plain service takes, before any answer.
@@ -70,20 +67,15 @@
         runner: ids.RunnerStart,
         prompt_tokens: int,
         seconds: float,
-        backlog: float = 0.0,
     ) -> None:
-        """Learn from the time to a first event.
-
-        ``backlog`` are tokens of other prompts that were read before it.
-        """
+        """Learn from the time to a first event."""
         pace = self._open(service, runner)
         pace.answers += 1
-        if prompt_tokens < SHORT_PROMPT:
-            own = max(0.0, seconds - pace.read_s * backlog)
-            pace.start_s = _blend(pace.start_s, own)
+        if prompt_tokens < 500:
+            pace.start_s = _blend(pace.start_s, seconds)
             return
         rest = max(0.0, seconds - pace.start_s)
-        pace.read_s = _blend(pace.read_s, rest / (prompt_tokens + backlog))
+        pace.read_s = _blend(pace.read_s, rest / prompt_tokens)
 
     def note_rest(
         self,
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -39,9 +39,6 @@
     def count_running(self, runner: ids.RunnerStart) -> int:
         return self.running.get(runner, 0)
 
-    def count_backlog(self, runner: ids.RunnerStart) -> float:
-        return 0.0
-
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         return sorted(self.ranks)
 
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -51,9 +51,6 @@
     def count_running(self, runner: ids.RunnerStart) -> int:
         return 0
 
-    def count_backlog(self, runner: ids.RunnerStart) -> float:
-        return 0.0
-
     def list_waiting(self, service: ids.Pool) -> list[waiting.Rank]:
         return []
 
