Say 503 while a host does not know the others, and be ready only then

Ruled out: the store's stand-in (it serves the list), the new messages.

Change: a host is ready when it knows the hosts (at most a second after its start); until then a request of an organisation with a limit gets 503, not run, come back in 0.2 s.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -390,6 +390,13 @@
         'the headers cannot be passed on: {detail}',
         'send a head that a server of HTTP/1.1 must accept',
     )
+    NO_HOSTS = Template(
+        'APL612',
+        503,
+        Outcome.NOT_RUN,
+        'this daemon does not know the other daemons yet',
+        'come back after Retry-After',
+    )
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -16,12 +16,12 @@
 
 import collections
 import dataclasses
-import enum
 import typing as ty
 
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway.decisions import averages
+from apricotlandingd.gateway.decisions import buckets
 
 __all__ = ['SLACK_SHARE', 'Quotas', 'Terms', 'Usage']
 
@@ -29,10 +29,6 @@
 # hosts may overrun by what they hand out before they hear of each other,
 # which is the rest of the slack.
 SLACK_SHARE = 0.25
-# Part of a bucket that is full at the start of a process. Operators allow a
-# tenth of the burst and a slack beyond the allowance; two halves of a burst
-# within a window stay below that, two whole ones do not.
-FIRST_PART = 0.5
 # Seconds after the start of a process in which peers that are heard for the
 # first time are those that ran before it, whose totals are of the past.
 YOUNG = 3.0
@@ -53,17 +49,6 @@
 SHORTEST_RETURN = 0.2
 
 
-class _Sign(enum.Enum):
-    # What a peer's total tells.
-
-    # The peer handed this out since it was heard last.
-    MORE = 'more'
-    # All of a process that started lately, or was not heard for long.
-    FIRST = 'first'
-    # All of a process that ran before this one started.
-    PAST = 'past'
-
-
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
 class Terms:
@@ -80,81 +65,6 @@
     reserve: float = 0.0
 
 
-@ty.final
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Use:
-    # When it was heard.
-    at: float
-    units: float
-    sign: _Sign
-
-
-@ty.final
-@dataclasses.dataclass(slots=True)
-class _Bucket:
-    # Units that may still be handed out; below zero after an overrun.
-    level: float
-    updated_at: float
-    # Most that it holds, and what it gains a second.
-    size: float = 0.0
-    rate: float = 0.0
-    # Units of the level that were only assumed at the start.
-    assumed: float = 0.0
-    # Part of the first units that was assumed so far: those of hosts that are
-    # not heard are left to them.
-    first_share: float = 0.0
-    # Units that peers handed out before they were heard, and that were not
-    # taken out yet, for want of assumed ones.
-    past: float = 0.0
-
-    def refill(self, now: float) -> None:
-        passed = max(0.0, now - self.updated_at)
-        level = self.level + passed * self.rate
-        # A new version may have lowered the size: what is above is lost. By
-        # now that much would be there without the assumption.
-        lost = max(0.0, level - self.size)
-        self.assumed = max(0.0, self.assumed - lost)
-        self.level = level - lost
-        self.updated_at = now
-
-    def count(self, use: '_Use') -> None:
-        # Filled up to then first: a bucket that nobody here has asked for a
-        # while would else be filled after the peer's use is taken out, and
-        # that use would be lost.
-        self.refill(use.at)
-        if use.sign is _Sign.MORE:
-            self.level -= use.units
-        elif use.sign is _Sign.FIRST:
-            # It may have handed all of this out just now.
-            first = self.size * FIRST_PART
-            self.level -= min(use.units, max(0.0, self.level) + first)
-        else:
-            # It ran before this process, or started beside it. What it has
-            # handed out is gone from the bucket that they share: rolling
-            # restarts within the operators' window would else add a first
-            # part each, and so would hosts that start together.
-            self.past += use.units
-            self._settle()
-
-    def adopt(self, level: float) -> None:
-        """Take the level that a peer states for the bucket that all share."""
-        self.level = level
-        self.assumed = 0.0
-        self.first_share = 1.0
-
-    def assume(self, units: float) -> None:
-        """Add first units; nobody has said yet that they are gone."""
-        self.level += units
-        self.assumed += units
-        self._settle()
-
-    def _settle(self) -> None:
-        gone = min(self.past, self.assumed)
-        self.past -= gone
-        self.assumed -= gone
-        self.level -= gone
-
-
 @ty.final
 class Quotas:
     """The buckets of all organisations, as this host knows them."""
@@ -171,9 +81,9 @@
         self._started_at = now
         self._slack = 0.0
         self.set_slack(slack_units)
-        self._buckets: dict[ids.Organisation, _Bucket] = {}
+        self._buckets: dict[ids.Organisation, buckets.Bucket] = {}
         # What peers handed out of buckets that do not exist here yet.
-        self._kept: dict[ids.Organisation, collections.deque[_Use]] = {}
+        self._kept: dict[ids.Organisation, collections.deque[buckets.Use]] = {}
         # What this process handed out.
         self.usage: Usage = {}
         self._asked = averages.Rates(ASKED_TIME)
@@ -321,33 +231,33 @@
         lately = Usage()
         before = self._heard.get(peer)
         self._heard[peer] = usage
-        sign = _Sign.MORE
+        sign = buckets.Sign.MORE
         if before is None:
             is_past = now - self._started_at <= YOUNG and not is_new
-            sign = _Sign.PAST if is_past else _Sign.FIRST
+            sign = buckets.Sign.PAST if is_past else buckets.Sign.FIRST
         for name, total in usage.items():
             units = total - (before.get(name, 0.0) if before else 0.0)
             if units == 0.0:
                 continue
-            if sign is _Sign.MORE:
+            if sign is buckets.Sign.MORE:
                 lately[name] = units
             bucket = self._buckets.get(name)
             if bucket is None:
-                self._keep(name, _Use(now, units, sign))
+                self._keep(name, buckets.Use(now, units, sign))
             else:
-                bucket.count(_Use(now, units, sign))
+                bucket.count(buckets.Use(now, units, sign))
         return lately
 
-    def _keep(self, name: ids.Organisation, use: '_Use') -> None:
+    def _keep(self, name: ids.Organisation, use: buckets.Use) -> None:
         # The bucket's rate and size are known with the first request here.
         kept = self._kept.setdefault(name, collections.deque(maxlen=KEPT_USES))
         last = kept[-1] if kept else None
         if (
             last is not None
-            and last.sign is use.sign is _Sign.MORE
+            and last.sign is use.sign is buckets.Sign.MORE
             and use.at - last.at < KEPT_INTERVAL
         ):
-            kept[-1] = _Use(last.at, last.units + use.units, use.sign)
+            kept[-1] = buckets.Use(last.at, last.units + use.units, use.sign)
             return
         kept.append(use)
 
@@ -373,13 +283,13 @@
         organisation: catalogue.Organisation,
         terms: 'Terms',
         now: float,
-    ) -> _Bucket:
+    ) -> buckets.Bucket:
         silent_share = terms.silent_share
         size = (organisation.burst_units + self._slack) * terms.group_part
         bucket = self._buckets.get(organisation.name)
         is_young = now - self._started_at <= YOUNG
         if bucket is None:
-            bucket = _Bucket(0.0, self._started_at)
+            bucket = buckets.Bucket(0.0, self._started_at)
             self._buckets[organisation.name] = bucket
             is_young = True
             stated = self._stated.pop(organisation.name, None)
@@ -393,7 +303,7 @@
             # heard says what it handed out, and its share is for all.
             more = 1 - silent_share - bucket.first_share
             bucket.first_share += more
-            bucket.assume(size * FIRST_PART * more)
+            bucket.assume(size * buckets.FIRST_PART * more)
         bucket.size = size
         rate = organisation.units_per_s * terms.group_part
         bucket.rate = rate * (1 - silent_share) - terms.drain
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
@@ -95,10 +95,18 @@
     ) -> Shares:
         """Return which part of an allowance may be used here."""
         silent = self._others.find_unheard_share()
-        if not self._knows_hosts(now):
+        if not self.knows_hosts(now):
             silent = 1.0
         return Shares(silent, self._find_group_part(organisation, now))
 
+    def knows_hosts(self, now: float) -> bool:
+        """Tell whether this host knows how many others there are."""
+        return (
+            self._is_listed
+            or self._others.is_told_of_all()
+            or now - self._started_at >= UNLISTED_TIME
+        )
+
     def note_listed(self) -> None:
         """Say that the other hosts were read from the store's list."""
         self._is_listed = True
@@ -186,13 +194,6 @@
         self.buckets.forget(process)
         self._parts.forget(process)
 
-    def _knows_hosts(self, now: float) -> bool:
-        return (
-            self._is_listed
-            or self._others.is_told_of_all()
-            or now - self._started_at >= UNLISTED_TIME
-        )
-
     def _is_divided(self) -> bool:
         return self._others.partition.count > 1
 
@@ -237,7 +238,7 @@
     def _find_ahead(self, now: float) -> float:
         # Units that a process that has just started may hand out before it
         # has heard the others.
-        if not self._knows_hosts(now):
+        if not self.knows_hosts(now):
             return 0.0
         if now - self._started_at >= UNSETTLED_TIME:
             return 0.0
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -276,8 +276,15 @@
         """Tell the balancer whether to send callers here."""
         if self._is_stopping or self._catalogue is None:
             return False
+        if not self.knows_hosts():
+            # It hands out nothing of any allowance yet.
+            return False
         return records.has_all(self._board.positions)
 
+    def knows_hosts(self) -> bool:
+        """Tell whether this host knows how many others there are."""
+        return self._allowances.knows_hosts(clocks.read_monotonic())
+
     def stop(self) -> None:
         """Begin a graceful stop, as SIGTERM does."""
         self._stop_asked.set()
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -18,6 +18,8 @@
 
 __all__ = ['SOON', 'Admission']
 
+# Seconds after which a host that has just started knows the others.
+HOSTS_SOON = 0.2
 # Seconds after which callers whose request met no configuration or no
 # runner should come back.
 SOON = 0.5
@@ -113,6 +115,9 @@
         if self.head.has_tokens:
             tokens = self.head.prompt_tokens + self.head.output_tokens
         allowances = self._parts.allowances
+        if holder.units_per_s > 0 and not allowances.knows_hosts(now):
+            # Not "over the allowance": nobody knows that yet.
+            return errors.make_problem(errors.Kind.NO_HOSTS, HOSTS_SOON)
         cost = allowances.buckets.find_cost(holder, tokens)
         shares = allowances.find_shares(holder, now)
         wait = allowances.take(holder, cost, shares, now)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -37,6 +37,7 @@
 from apricotlandingd.gateway.requests import runnerclient
 from apricotlandingd.gateway.requests import silence
 from apricotlandingd.gateway.requests import streams
+from apricotlandingd.gateway.requests import tickets
 
 __all__ = ['Exchange']
 
@@ -46,9 +47,6 @@
 # Largest answer that is held back until it is whole, so that a broken one
 # can be had from another runner; larger ones are passed on as they come.
 HELD_BYTES = 256 * 1024
-# Objectives for which a request may wait. What waits for longer is late for
-# its caller and in the way of those that are not.
-PATIENCE_OBJECTIVES = 1.0
 FAILED_STATUS = 500
 
 
@@ -211,7 +209,16 @@
 
     async def _wait_for_place(self) -> waiting.Grant | waiting.Refusal:
         now = clocks.read_monotonic()
-        ticket = self._make_ticket(now)
+        ticket = tickets.make_ticket(
+            self._parts,
+            self._asked,
+            now,
+            tickets.Progress(
+                is_begun=self._reply.is_begun,
+                sends=self._sends,
+                tried=self._tried,
+            ),
+        )
         self._parts.scheduler.enter(ticket, now)
         if ticket.decision is None:
             self._parts.on_change()
@@ -229,49 +236,6 @@
         assert ticket.decision is not None
         return ticket.decision
 
-    def _make_ticket(self, now: float) -> waiting.Ticket:
-        route, head = self._asked.route, self._asked.head
-        usual = self._parts.paces.find_usual(self._asked.service)
-        first = usual.find_first(head.prompt_tokens)
-        began = self._parts.habits.find_beginning(
-            route.name, self._asked.given_s, self._asked.arrived_at
-        )
-        on_time_by = began + route.objective_s - first
-        useful_until = self._find_useful_end() - first
-        tier = route.tier
-        if self._asked.organisation is not None:
-            if self._asked.organisation.tier is not None:
-                tier = self._asked.organisation.tier
-        if self._reply.is_begun:
-            # Half of the answer is with the caller already.
-            tier = ids.Tier(-1)
-        return waiting.Ticket(
-            attempt=head.attempt,
-            service=self._asked.service,
-            tier=tier,
-            route_tier=route.tier,
-            arrived_at=now,
-            on_time_by=on_time_by,
-            useful_until=useful_until,
-            ends_at=self._asked.limit_at,
-            prompt_tokens=head.prompt_tokens,
-            events=self._parts.habits.predict_events(
-                route, head.expected_tokens, self._asked.event_tokens
-            ),
-            last_part=head.prefix[-1][0] if head.prefix else '',
-            tried=self._tried,
-        )
-
-    def _find_useful_end(self) -> float:
-        if self._sends:
-            # It was offered in time; now any answer is better than none.
-            return self._asked.limit_at
-        # Told at once, a caller can come back when there is room. One that
-        # is held beyond its objective has lost that, and the time as well.
-        # The same holds for one that has come back.
-        patience = self._asked.route.objective_s * PATIENCE_OBJECTIVES
-        return min(self._asked.limit_at, self._asked.arrived_at + patience)
-
     # Sending.
 
     async def _try(self, runner: ids.RunnerStart) -> _End:
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/tickets.py
@@ -0,0 +1,85 @@
+"""The ticket with which a request waits for a place.
+
+Puts what the caller asked for, and how far its request has come, into the
+terms by which ``waiting`` decides: which tier it has, until when it can be on
+time, and until when a place is of any use to its caller.
+"""
+
+import dataclasses
+import typing as ty
+
+from apricotlanding import ids
+from apricotlandingd.gateway.decisions import waiting
+from apricotlandingd.gateway.requests import admission
+from apricotlandingd.gateway.requests import parts
+
+__all__ = ['Progress', 'make_ticket']
+
+# Objectives for which a request may wait. What waits for longer is late for
+# its caller and in the way of those that are not.
+PATIENCE_OBJECTIVES = 1.0
+
+# Tier of a request whose answer has begun: before all others, since half of
+# the answer is with the caller already.
+BEGUN_TIER = ids.Tier(-1)
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """How far a request has come."""
+
+    # Its caller has the first part of the answer.
+    is_begun: bool
+    # Runners that bytes of it went to.
+    sends: int
+    # Runners that were tried.
+    tried: set[ids.RunnerStart]
+
+
+def make_ticket(
+    shared: parts.Parts,
+    asked: admission.Admission,
+    now: float,
+    progress: Progress,
+) -> waiting.Ticket:
+    """Return the ticket of a request that is about to wait."""
+    route, head = asked.route, asked.head
+    usual = shared.paces.find_usual(asked.service)
+    first = usual.find_first(head.prompt_tokens)
+    began = shared.habits.find_beginning(
+        route.name, asked.given_s, asked.arrived_at
+    )
+    return waiting.Ticket(
+        attempt=head.attempt,
+        service=asked.service,
+        tier=BEGUN_TIER if progress.is_begun else _find_tier(asked),
+        route_tier=route.tier,
+        arrived_at=now,
+        on_time_by=began + route.objective_s - first,
+        useful_until=_find_useful_end(asked, progress.sends) - first,
+        ends_at=asked.limit_at,
+        prompt_tokens=head.prompt_tokens,
+        events=shared.habits.predict_events(
+            route, head.expected_tokens, asked.event_tokens
+        ),
+        last_part=head.prefix[-1][0] if head.prefix else '',
+        tried=progress.tried,
+    )
+
+
+def _find_tier(asked: admission.Admission) -> ids.Tier:
+    if asked.organisation is None or asked.organisation.tier is None:
+        return asked.route.tier
+    return asked.organisation.tier
+
+
+def _find_useful_end(asked: admission.Admission, sends: int) -> float:
+    if sends:
+        # It was offered in time; now any answer is better than none.
+        return asked.limit_at
+    # Told at once, a caller can come back when there is room. One that is held
+    # beyond its objective has lost that, and the time as well. The same holds
+    # for one that has come back.
+    patience = asked.route.objective_s * PATIENCE_OBJECTIVES
+    return min(asked.limit_at, asked.arrived_at + patience)
