Give units back to a part of an allowance only if it has a bucket

Cause, found in reading the diff: a request taken while all hosts are one group and given back after groups have formed met a part without a bucket: KeyError, and its caller an error of the host in place of the refusal. Ruled out: the whole allowance's bucket, which every request makes. Change: the part is charged only if it has a bucket.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -61,7 +61,7 @@
     # Units a second that others hand out and that are not heard one by one.
     drain: float = 0.0
     # Units that must be left over: others may have handed them out since
-    # they were heard.
+    # they were heard. Below zero, so many may be handed out ahead.
     reserve: float = 0.0
 
 
@@ -205,6 +205,10 @@
             bucket.refill(now)
             bucket.adopt(level)
 
+    def has_bucket(self, name: ids.Organisation) -> bool:
+        """Tell whether units of an organisation were asked for here."""
+        return name in self._buckets
+
     def list_levels(self, now: float) -> Usage:
         """Return the units that are left in each bucket."""
         for bucket in self._buckets.values():
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
@@ -2,8 +2,8 @@
 
 Ties the buckets of this host (``quotas``) to what the other hosts say
 (``mesh``): near hosts state what they handed out, and it is taken out of the
-buckets here; of other groups only the units asked for count, by which an
-allowance is divided (``groupuses``). A request's way asks this module alone.
+buckets here; other groups state what they are asked for and hand out a second
+(``groupuses``). A request's way asks this module alone.
 """
 
 import collections
@@ -33,8 +33,6 @@
 # without a network, groups of forty hosts used 1.2 to 1.9 allowances between
 # them for three seconds, and now one.
 UNSETTLED_TIME = 3.0
-
-
 # Seconds over which the units handed out are averaged: as far apart as the
 # messages of a group that is heard least, in a system of a hundred hosts.
 USED_TIME = 1.0
@@ -248,9 +246,12 @@
         self, organisation: catalogue.Organisation, units: float, now: float
     ) -> None:
         self.buckets.charge(organisation, units)
-        if self._keeps_parts(now):
+        if not self._keeps_parts(now):
+            return
+        # A request that is given back may have come before the groups formed.
+        if self._parts.has_bucket(organisation.name):
             self._parts.charge(organisation, units)
-            self._used.note(organisation.name, units, now)
+        self._used.note(organisation.name, units, now)
 
     def _find_group_part(
         self, organisation: catalogue.Organisation, now: float
--- a/tests/test_gateway_many_hosts.py
+++ b/tests/test_gateway_many_hosts.py
@@ -4,9 +4,14 @@
 
 import testtools
 
+from apricotlanding import addresses
+from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.hosts import allowances
+from apricotlandingd.gateway.hosts import mesh
 import gatewayparts
 import manyhosts
+import test_foreign_messages
 
 HOSTS = 40
 RATE = BURST = 2000.0
@@ -76,6 +81,37 @@
             self.assertGreaterEqual(play.count_units(4.0), 0.9 * owed)
 
 
+class TestFormingGroups(testtools.TestCase):
+    """A host whose system grows until it is divided into groups."""
+
+    def test_request_from_before_is_given_back(self) -> None:
+        # A caller's refused request ended in an error of the host: its units
+        # were taken while all hosts were one group, and given back to a part
+        # that had no bucket yet, after the hosts of a new group were heard.
+        others = mesh.Mesh(
+            ids.Host('host-0'),
+            addresses.Address('127.0.0.1', 1),
+            (),
+            random.Random(1),
+        )
+        shared = allowances.Allowances(SLACK, others, 0.0)
+        shared.note_listed()
+        now = 60.0
+        organisation = PRESSING.organisation
+        shares = shared.find_shares(organisation, now)
+        self.assertIsNone(shared.take(organisation, COST, shares, now))
+        for number in range(1, 30):
+            host = ids.Host(f'host-{number}')
+            state = test_foreign_messages.make_state(
+                host=host, incarnation=f'{host}/1'
+            )
+            others.take(state, now)
+        self.assertGreater(others.partition.count, 1)
+        shared.give_back(organisation, COST, now)
+        used = shared.buckets.usage[organisation.name]
+        self.assertEqual(0.0, used)
+
+
 class TestLargeSystem(testtools.TestCase):
     """An organisation of a system of seventy-one hosts, in six groups."""
 
