Answer a host that is heard for the first time at once

Change: a host that becomes known is written to at once, and one that is heard for the first time is answered. The test fails before (no answer in 0.5 s).

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -62,6 +62,9 @@
 NEW_TIME = 1.5
 # Seconds between tries to reach hosts that were never heard.
 SEARCH_INTERVAL = 0.5
+# Least seconds between messages to hosts that are new here: many become known
+# at once, and one message is written for all of them.
+CONTACT_PAUSE = 0.02
 # Tries after which a host that never answered is given up.
 SEARCH_TRIES = 20
 # Ranks and hints in one message: a datagram of a busy host stays below
@@ -136,6 +139,10 @@
         self.partition = groups.Partition()
         # Addresses to try, with the tries that are left.
         self._sought: dict[addresses.Address, int] = {}
+        # Those of them to try at once, and hosts that were just heard for
+        # the first time and may not have heard this one.
+        self._urgent: set[addresses.Address] = set()
+        self._searched = anyio.Event()
         for seed in seeds:
             self.seek(seed)
         self._changed = anyio.Event()
@@ -237,8 +244,14 @@
 
     def seek(self, address: addresses.Address) -> None:
         """Try to reach a host at an address."""
-        if address != self._address:
-            self._sought.setdefault(address, SEARCH_TRIES)
+        if address == self._address or address in self._sought:
+            return
+        self._sought[address] = SEARCH_TRIES
+        self._contact(address)
+
+    def _contact(self, address: addresses.Address) -> None:
+        self._urgent.add(address)
+        self._searched.set()
 
     def list_sought(self) -> list[addresses.Address]:
         """Return where hosts are looked for that were never heard."""
@@ -302,6 +315,13 @@
         host = peer.state.host
         if known is None or known.is_silent:
             eliot.log_message('gateway:peer_heard', peer=host)
+        if known is None or known.state.incarnation != peer.state.incarnation:
+            # Far hosts hear from this one in their turn only, seconds later in
+            # a large system. Until then a host that has just started, as all
+            # do after all were lost, leaves this one's part of everything to
+            # it: of 840 requests in the first second of 71 hosts, 260 were
+            # refused as beyond an allowance.
+            self._contact(peer.address)
         if known is not None:
             peer.near_at = known.near_at
             if known.state.incarnation == peer.state.incarnation:
@@ -485,15 +505,32 @@
         return far
 
     async def _search(self) -> None:
+        due_at = clocks.read_monotonic()
         while True:
+            now = clocks.read_monotonic()
+            targets, self._urgent = self._urgent, set()
+            if now >= due_at:
+                due_at = now + SEARCH_INTERVAL
+                targets.update(self._list_tries())
             data = self._write_state(Scope.SOUGHT)
-            for address, tries in list(self._sought.items()):
-                if tries <= 0:
-                    del self._sought[address]
-                    continue
-                self._sought[address] = tries - 1
+            for address in targets:
                 self._send(data, address)
-            await anyio.sleep(SEARCH_INTERVAL)
+            await anyio.sleep(CONTACT_PAUSE)
+            self._searched = anyio.Event()
+            if self._urgent:
+                continue
+            with anyio.move_on_after(due_at - clocks.read_monotonic()):
+                await self._searched.wait()
+
+    def _list_tries(self) -> list[addresses.Address]:
+        found: list[addresses.Address] = []
+        for address, tries in list(self._sought.items()):
+            if tries <= 0:
+                del self._sought[address]
+                continue
+            self._sought[address] = tries - 1
+            found.append(address)
+        return found
 
     def _send(self, data: bytes, address: addresses.Address) -> None:
         try:
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -3,9 +3,11 @@
 import collections
 import random
 
+import anyio
 import testtools
 
 from apricotlanding import addresses
+from apricotlanding import clocks
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import groupuses
 from apricotlandingd.gateway.decisions import quotas
@@ -19,8 +21,10 @@
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import pace
+from apricotstandins import processes
 import gatewayparts
 import groupload
+import test_foreign_messages
 
 HOSTS = [ids.Host(f'host-{number}') for number in range(61)]
 FESTIN = gatewayparts.make_organisation(1000.0)
@@ -348,3 +352,51 @@
         alone = groupload.play_groups(1.2, False, None)
         told = groupload.play_groups(1.2, True, None)
         self.assertLessEqual(told.refused, alone.refused)
+
+
+class TestFarHosts(testtools.TestCase):
+    """One of forty-one hosts, and one of another group that starts."""
+
+    def test_host_that_starts_is_answered_at_once(self) -> None:
+        # After all hosts were lost, a third of the first second's requests
+        # were refused as beyond an allowance. Each host heard those that had
+        # started before it only in their turn, up to seven seconds later, and
+        # left their parts of all allowances to them until then.
+        ports = [processes.find_port() for _ in range(2)]
+        own, far = [addresses.Address('127.0.0.1', port) for port in ports]
+        found = mesh.Mesh(HOSTS[0], own, (), random.Random(1))
+        now = clocks.read_monotonic()
+        partition = groups.make_partition(HOSTS[0], HOSTS[1:41])
+        name = next(
+            host for host in HOSTS[1:41] if not partition.is_near(host)
+        )
+        for host in HOSTS[1:41]:
+            if host != name:
+                found.take(self.make_state(host, str(own)), now)
+        found.make_state = lambda number, scope, hints: self.make_state(
+            HOSTS[0], str(own)
+        )
+        found.make_change = lambda number: test_foreign_messages.make_change()
+
+        async def play() -> None:
+            async with anyio.create_task_group() as group:
+                async with await anyio.create_udp_socket(
+                    local_host=far.host, local_port=far.port
+                ) as receiver:
+                    group.start_soon(found.run)
+                    await anyio.sleep(0.1)
+                    state = self.make_state(name, str(far))
+                    found.take(state, clocks.read_monotonic())
+                    with anyio.fail_after(0.5):
+                        await receiver.receive()
+                    group.cancel_scope.cancel()
+
+        anyio.run(play)
+
+    def make_state(self, host: ids.Host, address: str) -> messages.HostState:
+        return test_foreign_messages.make_state(
+            host=host,
+            incarnation=f'{host}/1',
+            state_address=address,
+            hints={},
+        )
