Charge a bucket in one place

charge and _charge said the same in two steps, since taking, giving back and charging go one way now.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -134,7 +134,7 @@
         self,
         organisation: catalogue.Organisation,
         cost: float,
-        terms: 'Terms',
+        terms: Terms,
         now: float,
     ) -> float | None:
         """Return seconds until there are enough units; None if there are.
@@ -166,8 +166,11 @@
         self, organisation: catalogue.Organisation, cost: float
     ) -> None:
         """Hand out units that ``find_wait`` has found."""
-        if organisation.units_per_s > 0:
-            self._charge(organisation.name, cost)
+        if organisation.units_per_s <= 0:
+            return
+        name = organisation.name
+        self._buckets[name].level -= cost
+        self.usage[name] = self.usage.get(name, 0.0) + cost
 
     def give_back(
         self, organisation: catalogue.Organisation, cost: float
@@ -269,10 +272,6 @@
         """Drop what is kept about a process that has ended."""
         self._heard.pop(peer, None)
 
-    def _charge(self, name: ids.Organisation, units: float) -> None:
-        self._buckets[name].level -= units
-        self.usage[name] = self.usage.get(name, 0.0) + units
-
     def _note_largest(
         self, name: ids.Organisation, cost: float, now: float
     ) -> float:
@@ -285,7 +284,7 @@
     def _refill(
         self,
         organisation: catalogue.Organisation,
-        terms: 'Terms',
+        terms: Terms,
         now: float,
     ) -> buckets.Bucket:
         silent_share = terms.silent_share
