Write no state for hosts to find when there is none

Twice a second each host wrote a whole state for hosts that it looks for, also when it looked for nobody. Nothing that is sent changes. Linters, mypy on the module and the tests of groups, decisions, messages and many hosts pass; the whole run was not repeated.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -512,9 +512,10 @@
             if now >= due_at:
                 due_at = now + SEARCH_INTERVAL
                 targets.update(self._list_tries())
-            data = self._write_state(Scope.SOUGHT)
-            for address in targets:
-                self._send(data, address)
+            if targets:
+                data = self._write_state(Scope.SOUGHT)
+                for address in targets:
+                    self._send(data, address)
             await anyio.sleep(CONTACT_PAUSE)
             self._searched = anyio.Event()
             if self._urgent:
