--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -1,11 +1,21 @@
 """Parts that the tests of the gateway's decisions are made of."""
 
+import dataclasses
+import typing as ty
+
 from apricotlanding import addresses
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
 
-__all__ = ['POOL', 'make_entry', 'make_organisation', 'make_start']
+__all__ = [
+    'POOL',
+    'make_entry',
+    'make_organisation',
+    'make_start',
+    'make_ticket',
+]
 
 POOL = ids.Pool('pool')
 
@@ -43,3 +53,21 @@
         counts_tokens=True,
         default_tokens=10.0,
     )
+
+
+def make_ticket(attempt: str, now: float, **changes: ty.Any) -> waiting.Ticket:
+    """Return a request of the pool's most urgent tier, on time for 1 s."""
+    ticket = waiting.Ticket(
+        attempt=attempt,
+        service=POOL,
+        tier=ids.Tier(0),
+        route_tier=ids.Tier(0),
+        arrived_at=now,
+        on_time_by=now + 1.0,
+        useful_until=now + 1.0,
+        ends_at=now + 10.0,
+        prompt_tokens=100,
+        events=10,
+        last_part='',
+    )
+    return dataclasses.replace(ticket, **changes)
--- a/tests/groupload.py
+++ b/tests/groupload.py
@@ -152,16 +152,10 @@
 
 
 def _make_ticket(number: int, now: float) -> waiting.Ticket:
-    return waiting.Ticket(
-        attempt=f'a{number}',
-        service=gatewayparts.POOL,
-        tier=ids.Tier(0),
-        route_tier=ids.Tier(0),
-        arrived_at=now,
+    return gatewayparts.make_ticket(
+        f'a{number}',
+        now,
         on_time_by=now + PATIENCE,
         useful_until=now + PATIENCE,
-        ends_at=now + 10.0,
         prompt_tokens=0,
-        events=10,
-        last_part='',
     )
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -74,18 +74,14 @@
         useful_until: float | None = None,
     ) -> waiting.Ticket:
         self.count += 1
-        ticket = waiting.Ticket(
-            attempt=f'a{self.count}',
-            service=gatewayparts.POOL,
+        ticket = gatewayparts.make_ticket(
+            f'a{self.count}',
+            now,
             tier=ids.Tier(tier),
             route_tier=ids.Tier(tier),
-            arrived_at=now,
             on_time_by=now + 1 if on_time_by is None else on_time_by,
             useful_until=now + 3 if useful_until is None else useful_until,
             ends_at=now + 15,
-            prompt_tokens=100,
-            events=10,
-            last_part='',
         )
         self.scheduler.enter(ticket, now)
         return ticket
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -277,19 +277,7 @@
 
     def enter(self) -> waiting.Ticket:
         self.count += 1
-        ticket = waiting.Ticket(
-            attempt=f'a{self.count}',
-            service=gatewayparts.POOL,
-            tier=ids.Tier(0),
-            route_tier=ids.Tier(0),
-            arrived_at=0.0,
-            on_time_by=1.0,
-            useful_until=1.0,
-            ends_at=10.0,
-            prompt_tokens=100,
-            events=10,
-            last_part='',
-        )
+        ticket = gatewayparts.make_ticket(f'a{self.count}', 0.0)
         self.scheduler.enter(ticket, 0.0)
         return ticket
 
--- a/tests/test_gateway_starts.py
+++ b/tests/test_gateway_starts.py
@@ -162,17 +162,11 @@
         )
 
     def enter(self, now: float, last_part: str = '') -> waiting.Ticket:
-        ticket = waiting.Ticket(
-            attempt=f'a-{now}',
-            service=gatewayparts.POOL,
-            tier=ids.Tier(0),
-            route_tier=ids.Tier(0),
-            arrived_at=now,
-            on_time_by=now + 1.0,
-            useful_until=now + 1.0,
+        ticket = gatewayparts.make_ticket(
+            f'a-{now}',
+            now,
             ends_at=now + 3.0,
             prompt_tokens=0,
-            events=10,
             last_part=last_part,
         )
         self.scheduler.enter(ticket, now)
@@ -303,18 +297,8 @@
         self.assertEqual(quick, self.choose(found))
 
     def choose(self, found: scheduler.Scheduler) -> ids.RunnerStart:
-        ticket = waiting.Ticket(
-            attempt='a',
-            service=gatewayparts.POOL,
-            tier=ids.Tier(0),
-            route_tier=ids.Tier(0),
-            arrived_at=0.0,
-            on_time_by=1.0,
-            useful_until=1.0,
-            ends_at=3.0,
-            prompt_tokens=20000,
-            events=1,
-            last_part='p',
+        ticket = gatewayparts.make_ticket(
+            'a', 0.0, ends_at=3.0, prompt_tokens=20000, events=1, last_part='p'
         )
         found.enter(ticket, 0.0)
         grant = ticket.decision
