Drop quotas' take and give_back, which only tests still called

Since an allowance may be had in two ways, the product asks with find_wait and charges with charge; the old pair stood beside it.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -110,26 +110,6 @@
             return organisation.default_tokens
         return float(tokens)
 
-    def take(
-        self,
-        organisation: catalogue.Organisation,
-        cost: float,
-        silent_share: float,
-        now: float,
-        group_part: float = 1.0,
-    ) -> float | None:
-        """Hand out units, or return seconds until there are enough.
-
-        ``group_part`` is the part of the allowance that is for this host's
-        group, and ``silent_share`` the share of the group's hosts that are
-        not heard.
-        """
-        terms = Terms(silent_share, group_part)
-        wait = self.find_wait(organisation, cost, terms, now)
-        if wait is None:
-            self.charge(organisation, cost)
-        return wait
-
     def find_wait(
         self,
         organisation: catalogue.Organisation,
@@ -165,19 +145,16 @@
     def charge(
         self, organisation: catalogue.Organisation, cost: float
     ) -> None:
-        """Hand out units that ``find_wait`` has found."""
+        """Hand out units that ``find_wait`` has found.
+
+        Below zero, they are given back: their request was not run.
+        """
         if organisation.units_per_s <= 0:
             return
         name = organisation.name
         self._buckets[name].level -= cost
         self.usage[name] = self.usage.get(name, 0.0) + cost
 
-    def give_back(
-        self, organisation: catalogue.Organisation, cost: float
-    ) -> None:
-        """Return the units of a request that was not run."""
-        self.charge(organisation, -cost)
-
     def list_asked(self, now: float) -> Usage:
         """Return the units asked for a second at this host."""
         return self._asked.list_rates(now)
--- a/tests/gatewayparts.py
+++ b/tests/gatewayparts.py
@@ -6,6 +6,7 @@
 from apricotlanding import addresses
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import quotas
 from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway import dialect
 
@@ -15,6 +16,7 @@
     'make_organisation',
     'make_start',
     'make_ticket',
+    'take_units',
 ]
 
 POOL = ids.Pool('pool')
@@ -71,3 +73,19 @@
         last_part='',
     )
     return dataclasses.replace(ticket, **changes)
+
+
+def take_units(
+    buckets: quotas.Quotas,
+    organisation: catalogue.Organisation,
+    cost: float,
+    silent_share: float,
+    now: float,
+    group_part: float = 1.0,
+) -> float | None:
+    """Hand out units, or return seconds until there are enough."""
+    terms = quotas.Terms(silent_share, group_part)
+    wait = buckets.find_wait(organisation, cost, terms, now)
+    if wait is None:
+        buckets.charge(organisation, cost)
+    return wait
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -120,7 +120,7 @@
             random.Random(1),
         )
         buckets = quotas.Quotas(0.0, 0.0)
-        buckets.take(FESTIN, 10.0, 0.0, 0.0)
+        gatewayparts.take_units(buckets, FESTIN, 10.0, 0.0, 0.0)
         uses = groupuses.GroupUses()
         spare = spares.Spares()
 
@@ -147,7 +147,7 @@
         self.assertTrue(0 <= uses.find_part(FESTIN, 1.0, 2) <= 1)
         for count in spare.list_runners(now).values():
             self.assertGreater(count, 0)
-        wait = buckets.take(FESTIN, 1e9, 0.0, now)
+        wait = gatewayparts.take_units(buckets, FESTIN, 1e9, 0.0, now)
         self.assertTrue(wait is None or 0 < wait < math.inf)
         good = test_foreign_messages.make_state(
             host='host-9', incarnation='host-9.1'
--- a/tests/test_gateway_allowances.py
+++ b/tests/test_gateway_allowances.py
@@ -103,7 +103,12 @@
                     gone.remove(host.number)
                     host.start(now)
             for host in here:
-                if host.buckets.take(ORGANISATION, COST, 0.0, now) is None:
+                if (
+                    gatewayparts.take_units(
+                        host.buckets, ORGANISATION, COST, 0.0, now
+                    )
+                    is None
+                ):
                     runs.append(now)
             if step % round(TELL_S / STEP_S) == 0:
                 self.tell(here, now)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -241,7 +241,10 @@
         self.quotas = quotas.Quotas(0.0, -100.0)
 
     def take(self, units: float, now: float, silent: float = 0.0) -> bool:
-        return self.quotas.take(FESTIN, units, silent, now) is None
+        return (
+            gatewayparts.take_units(self.quotas, FESTIN, units, silent, now)
+            is None
+        )
 
     def test_burst_is_handed_out_at_once(self) -> None:
         self.assertTrue(self.take(100, 0.0))
@@ -253,7 +256,7 @@
 
     def test_time_to_come_back_is_when_there_is_enough(self) -> None:
         self.take(100, 0.0)
-        wait = self.quotas.take(FESTIN, 50, 0.0, 0.0)
+        wait = gatewayparts.take_units(self.quotas, FESTIN, 50, 0.0, 0.0)
         assert wait is not None
         self.assertAlmostEqual(0.5, wait)
 
@@ -298,7 +301,12 @@
         total = 0.0
         for step in range(1000):
             for host in hosts:
-                if host.take(FESTIN, 1.0, 0.75, step / 100) is None:
+                if (
+                    gatewayparts.take_units(
+                        host, FESTIN, 1.0, 0.75, step / 100
+                    )
+                    is None
+                ):
                     total += 1
         self.assertLessEqual(total, FESTIN.burst_units + 10 * 100.0 + 4)
 
@@ -307,10 +315,14 @@
         # all slack. Every host was killed at once while it asked for many
         # times its allowance, and each restarted with a full bucket.
         before = quotas.Quotas(0.0, -100.0)
-        self.assertIsNone(before.take(FESTIN, 100, 0.0, 0.0))
+        self.assertIsNone(
+            gatewayparts.take_units(before, FESTIN, 100, 0.0, 0.0)
+        )
         after = quotas.Quotas(0.0, 0.1)
-        self.assertIsNotNone(after.take(FESTIN, 100, 0.0, 0.1))
-        self.assertIsNone(after.take(FESTIN, 50, 0.0, 0.1))
+        self.assertIsNotNone(
+            gatewayparts.take_units(after, FESTIN, 100, 0.0, 0.1)
+        )
+        self.assertIsNone(gatewayparts.take_units(after, FESTIN, 50, 0.0, 0.1))
 
     def test_use_of_a_restarted_peer_counts(self) -> None:
         self.take(0, 0.0)
@@ -320,13 +332,13 @@
 
     def test_history_of_peers_is_left_out_at_the_start(self) -> None:
         young = quotas.Quotas(0.0, 0.0)
-        young.take(FESTIN, 0, 0.0, 1.0)
+        gatewayparts.take_units(young, FESTIN, 0, 0.0, 1.0)
         young.hear(ids.Incarnation('o/1'), {FESTIN.name: 1e6}, 1.0)
-        self.assertIsNone(young.take(FESTIN, 90, 0.0, 1.0))
+        self.assertIsNone(gatewayparts.take_units(young, FESTIN, 90, 0.0, 1.0))
 
     def test_units_of_a_request_that_did_not_run_come_back(self) -> None:
         self.take(100, 0.0)
-        self.quotas.give_back(FESTIN, 100)
+        self.quotas.charge(FESTIN, -100)
         self.assertTrue(self.take(100, 0.0))
 
     def test_larger_request_goes_when_the_bucket_is_full(self) -> None:
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -148,7 +148,12 @@
         for step in range(500):
             for heard, bucket in zip(uses, buckets, strict=True):
                 part = heard.find_part(FESTIN, 800, 4)
-                if bucket.take(FESTIN, 10, 0.0, step / 100, part) is None:
+                if (
+                    gatewayparts.take_units(
+                        bucket, FESTIN, 10, 0.0, step / 100, part
+                    )
+                    is None
+                ):
                     total += 10
         self.assertLessEqual(total, 1000 + 5 * 1000 + 40)
 
--- a/tests/test_gateway_sizes.py
+++ b/tests/test_gateway_sizes.py
@@ -41,7 +41,7 @@
         now += spread.expovariate(load * RATE / mean)
         cost = LARGE if spread.random() < LARGE_SHARE else SMALL
         counts[cost].asked += 1
-        wait = buckets.take(organisation, cost, 0.0, now)
+        wait = gatewayparts.take_units(buckets, organisation, cost, 0.0, now)
         counts[cost].taken += wait is None
     return counts
 
@@ -74,5 +74,9 @@
         # burst is owed its place.
         buckets = quotas.Quotas(0.0, -100.0)
         organisation = gatewayparts.make_organisation(RATE)
-        self.assertIsNone(buckets.take(organisation, 900.0, 0.0, 0.0))
-        self.assertIsNone(buckets.take(organisation, 100.0, 0.0, 0.0))
+        self.assertIsNone(
+            gatewayparts.take_units(buckets, organisation, 900.0, 0.0, 0.0)
+        )
+        self.assertIsNone(
+            gatewayparts.take_units(buckets, organisation, 100.0, 0.0, 0.0)
+        )
