Say a host's share of an allowance with the terms that buckets take

Shares held two of the fields of Terms, and the terms were made again from it for each request. find_terms makes them once; the terms of the whole allowance are those of the part, widened.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
@@ -18,7 +18,7 @@
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
 
-__all__ = ['Allowances', 'Shares']
+__all__ = ['Allowances']
 
 # Seconds after the start of a process in which it hands out nothing as long
 # as it has not read who else there is: hosts that start together would each
@@ -50,17 +50,6 @@
 AHEAD_SHARE = 0.25
 
 
-@ty.final
-@dataclasses.dataclass(frozen=True, slots=True)
-class Shares:
-    """Which part of an allowance is for this host and its near peers."""
-
-    # Share of the group's hosts that are not heard, and so not counted on.
-    silent: float
-    # Part of the allowance that is for this host's group.
-    group_part: float
-
-
 @ty.final
 class Allowances:
     """The allowances of all organisations, shared with the other hosts."""
@@ -88,14 +77,18 @@
 
     # Requests of this host.
 
-    def find_shares(
+    def find_terms(
         self, organisation: catalogue.Organisation, now: float
-    ) -> Shares:
-        """Return which part of an allowance may be used here."""
+    ) -> quotas.Terms:
+        """Return which part of an allowance is for this host's group."""
         silent = self._others.find_unheard_share()
         if not self.knows_hosts(now):
             silent = 1.0
-        return Shares(silent, self._find_group_part(organisation, now))
+        return quotas.Terms(
+            silent_share=silent,
+            group_part=self._find_group_part(organisation, now),
+            reserve=-self._find_ahead(now),
+        )
 
     def knows_hosts(self, now: float) -> bool:
         """Tell whether this host knows how many others there are."""
@@ -113,11 +106,14 @@
         self,
         organisation: catalogue.Organisation,
         cost: float,
-        shares: Shares,
+        part: quotas.Terms,
         now: float,
     ) -> float | None:
-        """Hand out units, or return seconds until there are enough."""
-        whole, part = self._find_terms(organisation, shares, now)
+        """Hand out units, or return seconds until there are enough.
+
+        ``part`` is what ``find_terms`` has found.
+        """
+        whole = self._widen_terms(organisation, part, now)
         wait = self.buckets.find_wait(organisation, cost, whole, now)
         if self._keeps_parts(now):
             short = self._parts.find_wait(organisation, cost, part, now)
@@ -207,31 +203,29 @@
         partition = self._others.partition
         return self._group_uses.has_heard_all(partition.own, partition.count)
 
-    def _find_terms(
+    def _widen_terms(
         self,
         organisation: catalogue.Organisation,
-        shares: Shares,
+        part: quotas.Terms,
         now: float,
-    ) -> tuple[quotas.Terms, quotas.Terms]:
-        # For the whole allowance, and for this group's part of it.
-        ahead = self._find_ahead(now)
-        part = quotas.Terms(shares.silent, shares.group_part, reserve=-ahead)
+    ) -> quotas.Terms:
+        # From the part for this host's group to the whole allowance.
         if not self._is_divided():
-            return quotas.Terms(shares.silent, reserve=-ahead), part
+            return part
         name, count = organisation.name, self._others.partition.count
         asked = self._group_uses.sum_asked(name, count)
         if now < self._find_settled_time():
             # In all groups that started together it rises at once, and this
             # one knows its own part first.
             asked = max(asked, self._find_asked(name, now) * (count - 1))
-        unseen = asked * UNSEEN_TIME
-        whole = quotas.Terms(
-            silent_share=shares.silent,
+        # The operators' slack bears the first of it.
+        unseen = asked * UNSEEN_TIME - self._slack * UNSEEN_SHARE
+        return dataclasses.replace(
+            part,
+            group_part=1.0,
             drain=self._group_uses.sum_used(name, count),
-            # The operators' slack bears the first of it.
-            reserve=max(0.0, unseen - self._slack * UNSEEN_SHARE) - ahead,
+            reserve=part.reserve + max(0.0, unseen),
         )
-        return whole, part
 
     def _find_ahead(self, now: float) -> float:
         # Units that a process that has just started may hand out before it
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -119,8 +119,8 @@
             # Not "over the allowance": nobody knows that yet.
             return errors.make_problem(errors.Kind.NO_HOSTS, HOSTS_SOON)
         cost = allowances.buckets.find_cost(holder, tokens)
-        shares = allowances.find_shares(holder, now)
-        wait = allowances.take(holder, cost, shares, now)
+        terms = allowances.find_terms(holder, now)
+        wait = allowances.take(holder, cost, terms, now)
         if wait is not None:
             eliot.log_message(
                 'gateway:over_allowance',
@@ -128,8 +128,8 @@
                 organisation=holder.name,
                 cost=cost,
                 wait_s=round(wait, 3),
-                silent_share=round(shares.silent, 3),
-                group_part=round(shares.group_part, 3),
+                silent_share=round(terms.silent_share, 3),
+                group_part=round(terms.group_part, 3),
                 version=self.version,
             )
             return errors.make_problem(
--- a/tests/manyhosts.py
+++ b/tests/manyhosts.py
@@ -194,8 +194,8 @@
     def ask(self, host: Host, now: float) -> None:
         organisation = self.load.organisation
         cost = self.load.draw_cost(self.spread)
-        shares = host.shared.find_shares(organisation, now)
-        if host.shared.take(organisation, cost, shares, now) is None:
+        terms = host.shared.find_terms(organisation, now)
+        if host.shared.take(organisation, cost, terms, now) is None:
             self.runs.append((now, cost))
         else:
             self.refused += 1
--- a/tests/test_gateway_many_hosts.py
+++ b/tests/test_gateway_many_hosts.py
@@ -98,8 +98,8 @@
         shared.note_listed()
         now = 60.0
         organisation = PRESSING.organisation
-        shares = shared.find_shares(organisation, now)
-        self.assertIsNone(shared.take(organisation, COST, shares, now))
+        terms = shared.find_terms(organisation, now)
+        self.assertIsNone(shared.take(organisation, COST, terms, now))
         for number in range(1, 30):
             host = ids.Host(f'host-{number}')
             state = test_foreign_messages.make_state(
