Digest starts in one place; compare a peer's process once

mesh and hoststates each wrote the same comprehension, and _file asked twice whether the process is the one known. quotas' opening names both uses of its buckets. No behaviour changes; linters, mypy and the gateway's tests pass.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -10,8 +10,9 @@
 another. What it must withstand is a host that hears nothing: others may be
 handing out at the same time. For each peer that is silent the bucket is
 drained at an equal share of the rate, so hosts that are cut off from each
-other hand out the allowance once between them. In the same way the groups of a
-large system each have their part of it (``groupuses``).
+other hand out the allowance once between them. In a large system a group has
+its part of the allowance besides (``groupuses``); ``Terms`` say which of the
+two these buckets are for.
 """
 
 import collections
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -268,13 +268,9 @@
         known = self.peers.get(state.host)
         if known is not None and not self._is_newer(state, known.state):
             return
-        running = {
-            messages.digest_start(start): count
-            for start, count in state.running.items()
-        }
-        self._processes[messages.digest_process(state.incarnation)] = (
-            state.host
-        )
+        process = messages.digest_process(state.incarnation)
+        self._processes[process] = state.host
+        running = messages.digest_starts(state.running)
         self._file(self._make_peer(state, running, now), known, now)
         for host, address in state.hints.items():
             if host != self._host and host not in self.peers:
@@ -315,7 +311,10 @@
         host = peer.state.host
         if known is None or known.is_silent:
             eliot.log_message('gateway:peer_heard', peer=host)
-        if known is None or known.state.incarnation != peer.state.incarnation:
+        is_same = known is not None and (
+            known.state.incarnation == peer.state.incarnation
+        )
+        if not is_same:
             # Far hosts hear from this one in their turn only, seconds later in
             # a large system. Until then a host that has just started, as all
             # do after all were lost, leaves this one's part of everything to
@@ -324,7 +323,7 @@
             self._contact(peer.address)
         if known is not None:
             peer.near_at = known.near_at
-            if known.state.incarnation == peer.state.incarnation:
+            if is_same:
                 peer.first_at = known.first_at
             peer.asked = peer.state.asked or known.asked
         self.peers[host] = peer
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -35,6 +35,7 @@
     'RecordRow',
     'digest_process',
     'digest_start',
+    'digest_starts',
     'read_address',
     'registry',
 ]
@@ -61,6 +62,11 @@
     return xxhash.xxh32_intdigest(start.encode())
 
 
+def digest_starts(counts: dict[ids.RunnerStart, int]) -> dict[int, int]:
+    """Return counts by runner with the digests in place of the starts."""
+    return {digest_start(start): count for start, count in counts.items()}
+
+
 def digest_process(process: ids.Incarnation) -> int:
     """Return the 64 bits that stand for a host's process in a message."""
     return xxhash.xxh3_64_intdigest(process.encode())
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
@@ -101,10 +101,7 @@
     def make_change(self, number: int) -> messages.HostChange:
         """Return what near peers decide by and may have changed."""
         now = clocks.read_monotonic()
-        running = {
-            messages.digest_start(start): count
-            for start, count in self._schedule.places.running.items()
-        }
+        running = messages.digest_starts(self._schedule.places.running)
         usage = _round_units(self._shared.buckets.usage)
         return messages.HostChange(
             process=self._process,
