Hear the claim of a request that was shed before saying what became of it

A claim that takes longer than 0.1 s has its request wait in the pool's queue meanwhile. Shed there, the claim was dropped, and without its word nobody may say that no earlier call had the key. So the caller heard "unknown" of work that never ran.

"Unknown" with APL201 is said in two cases alone, that one and this; a request that was shed 0.12 s after it came, in a queue that was full, had no time for a grant, a failure and a second wait, but just that for the 0.1 s after which a slow claim waits in the queue.

Change: the ticket is given back to the scheduler at once, and the claim has a quarter of a second more. Granted: "not-run". Held or finished by an earlier call: that call's answer, which costs the pool nothing. Silent: "unknown", as before, a quarter of a second later.

--- a/packages/apricotlandingd/src/apricotlandingd/requests/runs.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/runs.py
@@ -52,6 +52,12 @@
 # pool's queue. In calm a claim takes a few milliseconds, and then this saves
 # two messages for each request.
 HOLD_AFTER = 0.1
+# Seconds for which the claim of a request that was shed meanwhile is waited
+# for. Without its word a caller of at-most-once work hears "unknown" of what
+# never ran, and may not send it under another key. A claim takes milliseconds,
+# on a busy host a few tenths of a second; a claim owner that is silent holds
+# the refusal up by no more than this.
+CLAIM_GRACE = 0.25
 
 
 class RunState(enum.Enum):
@@ -276,19 +282,16 @@
         # meanwhile, where the request can be shed.
         refusal: errors.Refused | None = None
         holder: wire.ClaimReply | None = None
-        is_over = False
         async with anyio.create_task_group() as group:
             group.start_soon(self._keep_place, ticket, group.cancel_scope)
             try:
                 holder = await self._claim(run)
             except errors.Refused as error:
                 refusal = error
-            is_over = True
             group.cancel_scope.cancel()
         if refusal is not None:
             raise refusal
-        if not is_over:
-            assert ticket.problem is not None
+        if holder is None and ticket.problem is not None:
             raise errors.Refused(ticket.problem)
         return holder
 
@@ -298,6 +301,10 @@
         await anyio.sleep(HOLD_AFTER)
         self._pools.add(ticket)
         await self._pools.wait_given_up(ticket)
+        # Confirmed now, whatever the claim says: it will not run, and until
+        # then the scheduler may shed nothing of a higher tier.
+        self._pools.remove(ticket)
+        await anyio.sleep(CLAIM_GRACE)
         scope.cancel()
 
     async def _claim(self, run: Run) -> wire.ClaimReply | None:
