Let the tier matrix say which host its scheduler could not hear

At the step drain the scheduler stops just before, so that one of the pair takes the pool over: in this step alone it is the scheduler that is cut off, from the other of the pair. If that one had registered before the cut, the scheduler sheds until the heartbeat's limit of 2 s tells it that the link is dead, and what comes to the other host meanwhile waits there, unknown.

Nobody can have told the scheduler of it; a host that a fault strikes directly is excused for just that already.

Ruled out: a fault of the scheduler's order; no pair had both requests at hosts that it heard.

Change: the cell asks the live hosts of the pair who schedules now; if it is one of them, the other counts as struck at the time of the cut, with the rule that struck hosts have. What it plays and checks otherwise is as it was. Three cases hold the rule itself: kept at a host that is heard, and kept at the unheard one since before the cut, are still found.

--- a/tests/bursts.py
+++ b/tests/bursts.py
@@ -80,7 +80,8 @@
     A request waited for certain at a time if it had been posted half a
     second before, ended well, and reached the engine later than that. What
     a host that was ``struck`` told its callers was told too late to compare,
-    and what was posted there afterwards had not reached its scheduler.
+    and what was posted there afterwards had not reached its scheduler. Struck
+    is also one that has lost nothing but the scheduler's host.
     """
     posted = list(posted)
     accepted_at = system.read_witness('planner-1')['accepted_at']
--- a/tests/test_tier_matrix.py
+++ b/tests/test_tier_matrix.py
@@ -3,14 +3,21 @@
 ``make matrix`` runs all of it.
 """
 
+import json
+import types
+import typing as ty
+
 import testtools
 
+from apricotstandins import callers
 import bursts
 import matrixrows
 import tiermatrix
 
 # The rows that have found faults.
 ROWS = ('freeze-scheduler', 'cut-entry', 'cut-pair')
+# What a caller reads that was shed.
+SHED_BODY = json.dumps({'code': bursts.SHED}).encode() + b'\n'
 
 
 def run_row(name: str, seed: int) -> matrixrows.Row:
@@ -25,5 +32,51 @@
     """Each row passes all of its cells."""
 
 
+class TestCheck(testtools.TestCase):
+    """What the check finds, and what it lets pass, with a host unheard."""
+
+    def find(self, kept_at: str, posted_at: float) -> list[str]:
+        """Look at one that is shed at entry-1, 2 s in, and one kept.
+
+        The scheduler lost entry-2 at 1 s.
+        """
+        shed = bursts.Posted(
+            key='a',
+            route='note',
+            tier=3,
+            host='entry-1',
+            posted_at=1.9,
+            ended_at=2.0,
+            reply=callers.Reply(status=429, body=SHED_BODY),
+        )
+        kept = bursts.Posted(
+            key='b',
+            route='report',
+            tier=4,
+            host=kept_at,
+            posted_at=posted_at,
+            ended_at=5.0,
+            reply=callers.Reply(status=200),
+        )
+        system = types.SimpleNamespace(
+            read_witness=lambda name: {'accepted_at': {'b': 4.0}}
+        )
+        return bursts.find_inversions(
+            ty.cast('ty.Any', system), [shed, kept], 'entry-2', 1.0
+        )
+
+    def test_kept_at_a_host_that_is_heard(self) -> None:
+        self.assertNotEqual([], self.find('entry-1', 1.1))
+        self.assertNotEqual([], self.find('entry-3', 1.1))
+
+    def test_kept_at_the_unheard_host_since_before(self) -> None:
+        # It was registered with the scheduler, which must count it.
+        self.assertNotEqual([], self.find('entry-2', 0.4))
+
+    def test_kept_at_the_unheard_host_that_came_afterwards(self) -> None:
+        # Nobody can have told the scheduler of it.
+        self.assertEqual([], self.find('entry-2', 1.1))
+
+
 for _name in ROWS:
     matrixrows.add_row(TestTierMatrix, _name, run_row)
--- a/tests/tiermatrix.py
+++ b/tests/tiermatrix.py
@@ -73,6 +73,8 @@
         self.entry = draw.choice(others)
         # The host that was asked to stop, if any was.
         self.drained = ''
+        # Two hosts that lost each other, if any did.
+        self.pair: list[str] = []
         self.struck_at = 0.0
         self.started_at = 0.0
 
@@ -82,6 +84,25 @@
         found = {'scheduler': self.scheduler, 'entry': self.entry}
         return found.get(self.fault.role, '')
 
+    def find_unheard(self) -> str:
+        """Return the host that the pool's scheduler could not hear.
+
+        The one that was struck, or that lost the host which took the pool
+        over; '' if the scheduler heard all.
+        """
+        if not self.pair:
+            return self.target
+        alive = [
+            host
+            for host in self.pair
+            if self.system.find_process(host).is_running()
+        ]
+        owners = [self._read_scheduler(host).get('owner') for host in alive]
+        for host, other in itertools.permutations(self.pair):
+            if host in owners:
+                return other
+        return ''
+
     def run(self, name: str) -> list[bursts.Posted]:
         """Post a burst, run the step, heal; return all when it ended."""
         with concurrent.futures.ThreadPoolExecutor(1) as pool:
@@ -116,14 +137,18 @@
         found: list[dict[str, ty.Any]] = []
 
         def is_found() -> bool:
-            host = next(iter(self.system.daemons))
-            shards = self.system.read_status(host).get('shards', {})
-            found[:] = [shards.get(POOL, {})]
+            found[:] = [self._read_scheduler(next(iter(self.system.daemons)))]
             return bool(found[0].get('serving') and found[0]['successor'])
 
         processes.wait_until(is_found, 'a scheduler with a successor')
         return str(found[0]['owner']), str(found[0]['successor'])
 
+    def _read_scheduler(self, host: str) -> dict[str, ty.Any]:
+        # As that host knows it.
+        shards = self.system.read_status(host).get('shards', {})
+        found: dict[str, ty.Any] = shards.get(POOL, {})
+        return found
+
 
 # Steps.
 
@@ -207,11 +232,13 @@
 def _cut_pair(cell: Cell) -> None:
     # The two that are not the scheduler lose only each other: claims of one
     # at the other wait, and its queue is fed by both.
-    pair = [host for host in cell.system.daemons if host != cell.scheduler]
+    cell.pair = [
+        host for host in cell.system.daemons if host != cell.scheduler
+    ]
     cell.system.set_links(
         **{
             f'{source}>{target}': {'cut_forward': True, 'cut_back': True}
-            for source, target in itertools.permutations(pair)
+            for source, target in itertools.permutations(cell.pair)
         }
     )
 
@@ -279,7 +306,7 @@
 def check_cell(cell: Cell, posted: list[bursts.Posted]) -> list[str]:
     """Return what was wrong."""
     wrong = bursts.find_inversions(
-        cell.system, posted, cell.target, cell.struck_at
+        cell.system, posted, cell.find_unheard(), cell.struck_at
     )
     executions = cell.system.read_witness('planner-1')['executions']
     for item in posted:
