Read of a process's output only what that process wrote

Cause: starts of a host append to one file, and read_output gave all of it. The soak asks there whether a host "has started" before it sends SIGHUP, because before that the signal ends a process. For every start but the first the answer was yes. The signal of a series met a host in its imports, which take long on a busy machine; the soak starts no host that it has not stopped.

Ruled out: 503 and not ready for want of other hosts; that host would have written "started" and its configuration.

Change: a process reads from where its file ended when it started.

--- a/packages/apricotstandins/src/apricotstandins/processes.py
+++ b/packages/apricotstandins/src/apricotstandins/processes.py
@@ -87,6 +87,8 @@
         """Start ``python -m`` with these arguments."""
         self.name = name
         self.output = output
+        # What processes before it have written to the same file.
+        self._begin = output.stat().st_size if output.exists() else 0
         with output.open('ab') as file:
             self._process = subprocess.Popen(
                 [sys.executable, '-m', *arguments],
@@ -137,4 +139,5 @@
 
     def read_output(self) -> str:
         """Return what it has written so far."""
-        return self.output.read_text(errors='replace')
+        written = self.output.read_bytes()[self._begin :]
+        return written.decode(errors='replace')
