--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -534,8 +534,10 @@
                 self.stop()
 
     async def _watch_settings(self) -> None:
-        # The platform writes new settings with a signal or without.
-        known = self._read_stamp()
+        # The platform writes new settings with a signal or without. They are
+        # read once more in any case: a change between the first reading and
+        # this, whose signal came before it was taken, would be lost.
+        known = None
         while True:
             await anyio.sleep(SETTINGS_INTERVAL)
             stamp = self._read_stamp()
