Let a host that starts not unsay what its group uses

Cause: found by reading what a greeting holds. What other groups use of an allowance is kept as the last word of any of their hosts. A greeting, which goes to hosts that were never heard, left that out; and a host that has just started has not heard its own group yet. Either made the others take the group for one that uses nothing, and hand out the whole allowance beside it, until a settled host of the group was heard again 0.3 s later. A host that starts again and again keeps it so.

Ruled out: the bound of hosts that start themselves (tests/manyhosts.py); the host that hands out too much here is one that has run for a minute.

Change: greetings say what the group uses and can spare, as states for far hosts do. What a host says that counts no others yet is not taken within a second of a settled one of its group; after that it is, so that a group which was lost whole is heard as before.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/groupuses.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/groupuses.py
@@ -18,6 +18,7 @@
 holds few large requests, and parts follow each one that comes.
 """
 
+import math
 import typing as ty
 
 from apricotlanding import ids
@@ -31,6 +32,10 @@
 # Chosen, not measured: with allowances of 1.8 times the usual use, a part of
 # this size leaves each group more than it uses.
 EQUAL_PART = 0.15
+# Seconds for which what a settled host said of its group stands against one
+# that has just started: hosts of a group are heard in turn, each group about
+# three times a second.
+STANDING_TIME = 1.0
 
 
 @ty.final
@@ -41,11 +46,28 @@
         """Start without having heard of any group."""
         self._asked: dict[int, quotas.Usage] = {}
         self._used: dict[int, quotas.Usage] = {}
+        # When a host that is settled was heard.
+        self._settled_at: dict[int, float] = {}
 
     def hear(
-        self, group: int, asked: quotas.Usage, used: quotas.Usage
+        self,
+        group: int,
+        asked: quotas.Usage,
+        used: quotas.Usage,
+        is_settled: bool,
+        now: float,
     ) -> None:
-        """Take what a host of another group says of its group."""
+        """Take what a host of another group says of its group.
+
+        One that is not settled has just started and has heard next to nothing
+        of its group. Taken for the last word, it had the others hand out a
+        whole allowance again: in a play of two groups, one of which has hosts
+        that start again and again, 12,400 units in six seconds; now 2,600.
+        """
+        if is_settled:
+            self._settled_at[group] = now
+        elif now - self._settled_at.get(group, -math.inf) < STANDING_TIME:
+            return
         self._asked[group] = asked
         self._used[group] = used
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
@@ -172,7 +172,13 @@
             self.buckets.skip(state.incarnation, state.usage)
             self._parts.skip(state.incarnation, state.usage)
             group = self._others.partition.find_group(state.host)
-            self._group_uses.hear(group, state.group_asked, state.group_used)
+            self._group_uses.hear(
+                group,
+                state.group_asked,
+                state.group_used,
+                state.hosts > 0,
+                now,
+            )
             return
         self.buckets.adopt(state.levels, now)
         is_new = state.hosts == 0
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -80,7 +80,8 @@
 
     # Everything, for near peers.
     WHOLE = 'whole'
-    # The same, for hosts that were never heard.
+    # The same and what hosts of other groups are told, for hosts that were
+    # never heard: they may be of either kind.
     SOUGHT = 'sought'
     # What hosts of other groups use.
     FAR = 'far'
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -157,7 +157,7 @@
         default_factory=dict
     )
     # Free places at runners of this host's group for which nothing waits
-    # there; only in states for hosts of other groups.
+    # there; not in states for near hosts.
     spare: dict[ids.RunnerStart, Count] = dataclasses.field(
         default_factory=dict
     )
@@ -165,7 +165,7 @@
     # nothing changed. Whose answer that is, ``freshness`` tells.
     answer_ages: list[Age] = dataclasses.field(default_factory=list)
     # Units handed out a second at all hosts of the group, by organisation;
-    # only in states for hosts of other groups.
+    # not in states for near hosts.
     group_used: dict[ids.Organisation, Rate] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/hoststates.py
@@ -64,9 +64,10 @@
         running: dict[ids.RunnerStart, int] = {}
         ranks: dict[ids.Pool, list[waiting.Rank]] = {}
         usage = _round_units(self._shared.buckets.usage)
-        if scope is mesh.Scope.FAR:
+        if scope is not mesh.Scope.WHOLE:
             group_used = _round_units(self._shared.list_used(now))
             spare = self._schedule.list_spare(now)
+        if scope is mesh.Scope.FAR:
             ages = self._ages.list_group_ages(now)
         else:
             running = dict(self._schedule.places.running)
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -126,7 +126,8 @@
 
         def take(state: messages.HostState, now: float) -> None:
             buckets.hear(state.incarnation, state.usage, now)
-            uses.hear(1, state.group_asked, state.group_used)
+            is_settled = state.hosts > 0
+            uses.hear(1, state.group_asked, state.group_used, is_settled, now)
             spare.hear(1, state.spare, now)
             records.is_ahead(state.positions, records.Board().positions)
 
--- a/tests/test_gateway_many_hosts.py
+++ b/tests/test_gateway_many_hosts.py
@@ -1,14 +1,24 @@
 """One allowance, handed out by many hosts, without a network."""
 
 import random
+import types
+import typing as ty
 
 import testtools
 
 from apricotlanding import addresses
+from apricotlanding import clocks
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.process import hoststates
+from apricotlandingd.gateway.replication import freshness
+from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.runners import directory
+from apricotlandingd.gateway.runners import health
+from apricotlandingd.gateway.runners import pace
 import gatewayparts
 import manyhosts
 import test_foreign_messages
@@ -112,6 +122,136 @@
         self.assertEqual(0.0, used)
 
 
+class TestStartsElsewhere(testtools.TestCase):
+    """A host of another group starts, and says what it does not know."""
+
+    def hand_out(self, is_greeted: bool) -> float:
+        """Return the units handed out in six seconds, of 12,000 and a burst.
+
+        The other group is asked for nine times the allowance and uses all but
+        a tenth of it, as one of its hosts says three times a second. Another
+        one starts again and again, and greets.
+        """
+        others = mesh.Mesh(
+            ids.Host('host-0'),
+            addresses.Address('127.0.0.1', 1),
+            (),
+            random.Random(1),
+        )
+        shared = allowances.Allowances(SLACK, others, 0.0)
+        others.on_state = shared.hear
+        shared.note_listed()
+        for number in range(1, 24):
+            host = ids.Host(f'host-{number}')
+            self.tell(others, host, 1, 60.0, hosts=24)
+        far = [
+            host
+            for host in sorted(others.peers)
+            if not others.partition.is_near(host)
+        ]
+        organisation = PRESSING.organisation
+        asked = {organisation.name: 9 * RATE}
+        used = {organisation.name: 0.9 * RATE}
+        units = 0.0
+        for turn in range(1, 120):
+            now = 60.0 + turn * 0.05
+            if turn % 6 == 0:
+                self.tell(
+                    others,
+                    far[0],
+                    turn,
+                    now,
+                    hosts=24,
+                    group_asked=asked,
+                    group_used=used,
+                )
+            if is_greeted and turn % 6 == 1:
+                self.tell(others, far[1], turn, now, incarnation=str(turn))
+            terms = shared.find_terms(organisation, now)
+            if shared.take(organisation, COST, terms, now) is None:
+                units += COST
+        return units
+
+    def tell(
+        self,
+        others: mesh.Mesh,
+        host: ids.Host,
+        number: int,
+        now: float,
+        incarnation: str = '1',
+        **fields: ty.Any,
+    ) -> None:
+        state = test_foreign_messages.make_state(
+            host=host,
+            incarnation=f'{host}/{incarnation}',
+            peers_address=f'127.0.1.{host.partition("-")[2]}:1',
+            number=number,
+            usage={},
+            running={},
+            ranks={},
+            hints={},
+            **fields,
+        )
+        others.take(state, now)
+
+    def test_what_a_group_uses_is_not_forgotten(self) -> None:
+        # An organisation runs more than it may. A host of another group was
+        # restarted; its greeting to hosts that it does not know yet says
+        # nothing of what its group uses, and was taken for nothing used.
+        alone = self.hand_out(is_greeted=False)
+        self.assertLess(alone, BURST * 2)
+        self.assertLessEqual(self.hand_out(is_greeted=True), alone)
+
+
+class TestGreeting(testtools.TestCase):
+    """What a host says to one that it has never heard."""
+
+    def test_greeting_says_what_the_group_uses(self) -> None:
+        # As above, with a greeting by a host that knows what its group uses.
+        # Whom it greets may be of its own group or of another one, and can't
+        # tell an organisation that uses nothing from one that is not named.
+        now = clocks.read_monotonic()
+        own = addresses.Address('127.0.0.1', 1)
+        others = mesh.Mesh(ids.Host('host-0'), own, (), random.Random(1))
+        shared = allowances.Allowances(SLACK, others, now - 100.0)
+        shared.note_listed()
+        for number in range(1, 24):
+            host = ids.Host(f'host-{number}')
+            state = test_foreign_messages.make_state(
+                host=host, incarnation=f'{host}/1', hints={}, usage={}
+            )
+            others.take(state, now)
+        organisation = PRESSING.organisation
+        terms = shared.find_terms(organisation, now)
+        self.assertIsNone(shared.take(organisation, COST, terms, now))
+        board = records.Board()
+        bounds = dict.fromkeys(records.TOPICS, 1.0)
+        schedule = scheduler.Scheduler(
+            directory.Directory(2.0),
+            pace.Paces(),
+            health.Health(),
+            others,
+            random.Random(1),
+        )
+        states = hoststates.HostStates(
+            ty.cast(
+                'ty.Any',
+                types.SimpleNamespace(host='host-0', state=own, peers=own),
+            ),
+            ids.Incarnation('host-0/1'),
+            board,
+            freshness.Freshness(board, bounds),
+            shared,
+            schedule,
+            others,
+            lambda now: True,
+            lambda: False,
+        )
+        for scope in (mesh.Scope.SOUGHT, mesh.Scope.FAR):
+            told = states.make_state(1, scope, {})
+            self.assertIn(organisation.name, told.group_used)
+
+
 class TestLargeSystem(testtools.TestCase):
     """An organisation of a system of seventy-one hosts, in six groups."""
 
