--- a/tests/test_gateway_many_hosts.py
+++ b/tests/test_gateway_many_hosts.py
@@ -37,6 +37,9 @@
     draw_cost=lambda spread: COST,
 )
 
+# Where host-0 listens.
+OWN = addresses.Address('127.0.0.1', 1)
+
 # An organisation of a large deployment: tokens a second, and the slack.
 LARGE_RATE = 55000.0
 LARGE_SLACK = 190000.0
@@ -61,6 +64,11 @@
     )
 
 
+def make_mesh() -> mesh.Mesh:
+    """Return the mesh of host-0, which has heard nobody."""
+    return mesh.Mesh(ids.Host('host-0'), OWN, (), random.Random(1))
+
+
 def find_allowed(organisation: catalogue.Organisation, slack: float) -> float:
     """Return what the operators allow in a window."""
     units = organisation.units_per_s * WINDOW_S + organisation.burst_units
@@ -98,12 +106,7 @@
         # A caller's refused request ended in an error of the host: its units
         # were taken while all hosts were one group, and given back to a part
         # that had no bucket yet, after the hosts of a new group were heard.
-        others = mesh.Mesh(
-            ids.Host('host-0'),
-            addresses.Address('127.0.0.1', 1),
-            (),
-            random.Random(1),
-        )
+        others = make_mesh()
         shared = allowances.Allowances(SLACK, others, 0.0)
         shared.note_listed()
         now = 60.0
@@ -132,12 +135,7 @@
         a tenth of it, as one of its hosts says three times a second. Another
         one starts again and again, and greets.
         """
-        others = mesh.Mesh(
-            ids.Host('host-0'),
-            addresses.Address('127.0.0.1', 1),
-            (),
-            random.Random(1),
-        )
+        others = make_mesh()
         shared = allowances.Allowances(SLACK, others, 0.0)
         others.on_state = shared.hear
         shared.note_listed()
@@ -211,8 +209,7 @@
         # Whom it greets may be of its own group or of another one, and can't
         # tell an organisation that uses nothing from one that is not named.
         now = clocks.read_monotonic()
-        own = addresses.Address('127.0.0.1', 1)
-        others = mesh.Mesh(ids.Host('host-0'), own, (), random.Random(1))
+        others = make_mesh()
         shared = allowances.Allowances(SLACK, others, now - 100.0)
         shared.note_listed()
         for number in range(1, 24):
@@ -236,7 +233,7 @@
         states = hoststates.HostStates(
             ty.cast(
                 'ty.Any',
-                types.SimpleNamespace(host='host-0', state=own, peers=own),
+                types.SimpleNamespace(host='host-0', state=OWN, peers=OWN),
             ),
             ids.Incarnation('host-0/1'),
             board,
