Keep each allowance of a large system at one host

Cause: sixteen groups at 195 hosts hear of each other every 1.6 s, each host of another one every 19 s.

Change: the first host in the rendezvous order of an organisation's name hands out for all; the others ask it, repeat until answered, and pass it over after 0.09 s. It tells the next two of the order what it handed out, five times a second, so a keeper that is lost hands nothing out again. A host that reaches none goes by its own copy, as before. Units of a request that did not run go back to their keeper, once, and only if they were handed out. In a large system hosts no longer tell each change of a request to their group.

The two first keepers killed: the bound holds and the others hand out more than 0.8 of what is owed.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -196,6 +196,10 @@
             bucket.refill(now)
         return {name: item.level for name, item in self._buckets.items()}
 
+    def has_heard(self, peer: ids.Incarnation) -> bool:
+        """Tell whether a peer's totals are known."""
+        return peer in self._heard
+
     def skip(self, peer: ids.Incarnation, usage: Usage) -> None:
         """Remember a peer's totals whose use counts elsewhere."""
         self._heard[peer] = usage
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
@@ -122,6 +122,30 @@
             self._charge(organisation, cost, now)
         return wait
 
+    def find_keeper_terms(self, now: float) -> quotas.Terms:
+        """Return what a host that keeps an allowance for all may count on."""
+        silent = self._others.find_unheard_share()
+        if not self.knows_hosts(now):
+            silent = 1.0
+        ahead = 0.0
+        if now - self._started_at < UNSETTLED_TIME:
+            ahead = self._slack * AHEAD_SHARE * (1 - silent)
+        return quotas.Terms(silent_share=silent, reserve=-ahead)
+
+    def note_handed_out(
+        self, organisation: catalogue.Organisation, cost: float, now: float
+    ) -> None:
+        """Count units that were handed out for all hosts.
+
+        For hosts that reach none that keeps the allowance and go by their
+        own copies.
+        """
+        part = self.find_terms(organisation, now)
+        self.buckets.find_wait(organisation, cost, part, now)
+        if self._keeps_parts(now):
+            self._parts.find_wait(organisation, cost, part, now)
+        self._charge(organisation, cost, now)
+
     def _choose_way(
         self, wait: float | None, short: float | None
     ) -> float | None:
@@ -136,7 +160,8 @@
         self, organisation: catalogue.Organisation, cost: float, now: float
     ) -> None:
         """Return the units of a request that was not run."""
-        self._charge(organisation, -cost, now)
+        if self.buckets.has_bucket(organisation.name):
+            self._charge(organisation, -cost, now)
 
     # What hosts tell.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/candidates.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/candidates.py
@@ -88,6 +88,10 @@
                 return host
         return self._host
 
+    def list_first(self, name: str, count: int) -> list[ids.Host]:
+        """Return the first hosts in the order, whether they answer or not."""
+        return self._rank(name)[:count]
+
     def note_silent(self, host: ids.Host, now: float) -> None:
         """Pass over a host that did not answer."""
         if host == self._host:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -33,6 +33,7 @@
 from apricotlanding import errors
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import waiting
+from apricotlandingd.gateway.hosts import allowancemessages
 from apricotlandingd.gateway.hosts import groups
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.hosts import placemessages
@@ -179,6 +180,15 @@
         self.on_place_reply: collections.abc.Callable[
             [placemessages.PlaceReply, float], None
         ] = lambda reply, now: None
+        self.on_allowance_request: collections.abc.Callable[
+            [allowancemessages.AllowanceRequest, float], None
+        ] = lambda request, now: None
+        self.on_allowance_reply: collections.abc.Callable[
+            [allowancemessages.AllowanceReply, float], None
+        ] = lambda reply, now: None
+        self.on_keeper_news: collections.abc.Callable[
+            [allowancemessages.KeeperNews, float], None
+        ] = lambda news, now: None
         # Called with the sender's IP number and the reason for each message
         # that cannot be read.
         self.on_unreadable: collections.abc.Callable[
@@ -504,6 +514,15 @@
             if isinstance(state, placemessages.PlaceReply):
                 self.on_place_reply(state, now)
                 continue
+            if isinstance(state, allowancemessages.AllowanceRequest):
+                self.on_allowance_request(state, now)
+                continue
+            if isinstance(state, allowancemessages.AllowanceReply):
+                self.on_allowance_reply(state, now)
+                continue
+            if isinstance(state, allowancemessages.KeeperNews):
+                self.on_keeper_news(state, now)
+                continue
             if not isinstance(state, messages.HostState):
                 self.on_unreadable(sender[0], 'no state of a host', now)
                 continue
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/sharedallowances.py
@@ -0,0 +1,337 @@
+"""Allowances that one host keeps for all, in a large system.
+
+Up to some twenty hosts tell each other what they hand out, and each keeps a
+copy of every allowance (``allowances``). Hundreds of hosts hear of each other
+seconds later, and with that the sum over all of them is wrong both ways: hosts
+refuse organisations that ask for half of what they may, and hand out more than
+there is. So one host, chosen by the organisation's name (``candidates``),
+hands out for all, and the others ask it.
+
+When it does not answer, the next one in the order is asked. That one has been
+told what was handed out, so the allowance is not handed out again. A host that
+reaches none goes by its own copy and its group's part.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import typing as ty
+
+import anyio
+
+from apricotlanding import addresses
+from apricotlanding import ids
+from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.hosts import allowancemessages
+from apricotlandingd.gateway.hosts import allowances
+from apricotlandingd.gateway.hosts import candidates
+from apricotlandingd.gateway.hosts import messages
+
+__all__ = ['Question', 'SharedAllowances']
+
+# Answers that are remembered for requests that are repeated.
+KEPT_ANSWERS = 4096
+# Hosts that keep what was handed out, with the one that is asked first.
+KEEPERS = 3
+# Seconds between two messages to the others of these.
+NEWS_INTERVAL = 0.2
+# Seconds that stand for the answer to a question whose units were returned.
+RETURNED_WAIT = 1.0
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class Question:
+    """Units that are asked for."""
+
+    organisation: catalogue.Organisation
+    cost: float
+    number: int = 0
+    target: ids.Host = ids.Host('')
+    # When this host was asked first, and when last.
+    asked_at: float | None = None
+    sent_at: float = 0.0
+    # Hosts in a row that did not answer.
+    silent: int = 0
+    # Seconds until there are enough; None if they were handed out.
+    wait_s: float | None = None
+    # This host has answered by its own copy.
+    is_own: bool = False
+    answered: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+@ty.final
+class SharedAllowances:
+    """Asks for units, and hands out those that this host keeps for all."""
+
+    def __init__(
+        self,
+        host: ids.Host,
+        address: addresses.Address,
+        process: ids.Incarnation,
+        own: allowances.Allowances,
+        slack_units: float,
+        hosts: candidates.Hosts,
+        asked: candidates.Candidates,
+        find_organisation: collections.abc.Callable[
+            [ids.Organisation], catalogue.Organisation | None
+        ],
+        is_stopping: collections.abc.Callable[[], bool],
+        now: float,
+    ) -> None:
+        """Start without questions.
+
+        ``own`` holds this host's copies, ``slack_units`` is the operators'
+        slack, and ``find_organisation`` returns an organisation of the
+        configuration in force.
+        """
+        self._host = host
+        self._address = str(address)
+        self._incarnation = process
+        # Stands for this process in messages.
+        self.process = messages.digest_process(process)
+        self._own = own
+        # What this host hands out for all, or would if it were asked.
+        self._kept = quotas.Quotas(slack_units, now)
+        self._told: quotas.Usage = {}
+        self._told_at = now
+        self._hosts = hosts
+        self._candidates = asked
+        self._find_organisation = find_organisation
+        self._is_stopping = is_stopping
+        self._count = 0
+        self._questions: dict[int, Question] = {}
+        self._answers: collections.OrderedDict[
+            tuple[int, int], float | None
+        ] = collections.OrderedDict()
+
+    def set_slack(self, slack_units: float) -> None:
+        """Take the operators' slack."""
+        self._kept.set_slack(slack_units)
+
+    def forget(self, process: ids.Incarnation) -> None:
+        """Drop what is kept about a process that has ended."""
+        self._kept.forget(process)
+
+    # Requests of this host.
+
+    def ask(
+        self, organisation: catalogue.Organisation, cost: float, now: float
+    ) -> Question:
+        """Ask for units; the answer may be there at once."""
+        question = Question(organisation, cost)
+        if organisation.units_per_s <= 0 or not self._hosts.is_divided():
+            self._decide_alone(question, now)
+            return question
+        self._count += 1
+        question.number = self._count
+        self._questions[question.number] = question
+        self._send(question, now)
+        return question
+
+    def give_back(self, question: Question, now: float) -> None:
+        """Return the units of a request that was not run.
+
+        Also for a question that has no answer yet: it may be handed out all
+        the same.
+        """
+        is_open = self._questions.pop(question.number, None) is not None
+        if question.is_own and question.target == self._host:
+            self._take_units_back(question.organisation, question.cost, now)
+        elif question.is_own:
+            self._own.give_back(question.organisation, question.cost, now)
+        elif is_open or question.wait_s is None:
+            request = self._make_request(question, is_returned=True)
+            self._pass(request, question.target)
+
+    def take_reply(
+        self, reply: allowancemessages.AllowanceReply, now: float
+    ) -> None:
+        """Take the answer of a host that keeps an allowance."""
+        if reply.process != self.process:
+            return
+        self._candidates.note_heard(reply.host)
+        if reply.is_stopping:
+            self._candidates.note_stopping(reply.host, now)
+        question = self._questions.pop(reply.number, None)
+        if question is not None:
+            question.wait_s = reply.wait_s or None
+            question.answered.set()
+
+    def tick(self, now: float) -> None:
+        """Repeat what has no answer, or ask another host."""
+        for question in list(self._questions.values()):
+            asked_at = question.asked_at or now
+            if now - asked_at > candidates.SILENT_TIME:
+                self._candidates.note_silent(question.target, now)
+                question.silent += 1
+                question.asked_at = None
+                self._send(question, now)
+            elif now - question.sent_at > candidates.RESEND_TIME:
+                self._send(question, now)
+        if self._hosts.is_divided() and now - self._told_at > NEWS_INTERVAL:
+            self._told_at = now
+            self._tell_keepers()
+
+    # Requests of other hosts.
+
+    def take(
+        self, request: allowancemessages.AllowanceRequest, now: float
+    ) -> None:
+        """Hand out units to another host, or take some back."""
+        organisation = self._find_organisation(request.organisation)
+        if organisation is None or not self._own.knows_hosts(now):
+            return
+        key = (request.process, request.number)
+        if request.is_returned:
+            self._take_back(key, organisation, request.cost, now)
+            return
+        if key not in self._answers:
+            wait = self._hand_out(organisation, request.cost, now)
+            self._remember(key, wait)
+        reply = allowancemessages.AllowanceReply(
+            host=self._host,
+            process=request.process,
+            number=request.number,
+            wait_s=self._answers[key] or 0.0,
+            is_stopping=self._is_stopping(),
+        )
+        self._hosts.send(reply, messages.read_address(request.address))
+
+    def _take_back(
+        self,
+        key: tuple[int, int],
+        organisation: catalogue.Organisation,
+        cost: float,
+        now: float,
+    ) -> None:
+        # Only what was handed out here; a question that arrives behind its
+        # return gets nothing.
+        if self._answers.get(key, RETURNED_WAIT) is None:
+            self._take_units_back(organisation, cost, now)
+        self._remember(key, RETURNED_WAIT)
+
+    def hear_news(
+        self, news: allowancemessages.KeeperNews, now: float
+    ) -> None:
+        """Take what another host that keeps allowances has handed out."""
+        if not self._kept.has_heard(news.incarnation):
+            self.hear(news.incarnation, news.before, False, now)
+        self.hear(news.incarnation, news.usage, False, now)
+
+    def hear(
+        self,
+        process: ids.Incarnation,
+        usage: quotas.Usage,
+        is_new: bool,
+        now: float,
+    ) -> None:
+        """Take the totals that a process has handed out, for all or alone.
+
+        Those of one that has run for a while and is heard for the first time
+        are of the past.
+        """
+        if process == self._incarnation:
+            return
+        if is_new or self._kept.has_heard(process):
+            self._kept.hear(process, usage, now, is_new)
+        else:
+            self._kept.skip(process, usage)
+
+    def _hand_out(
+        self, organisation: catalogue.Organisation, cost: float, now: float
+    ) -> float | None:
+        terms = self._own.find_keeper_terms(now)
+        wait = self._kept.find_wait(organisation, cost, terms, now)
+        if wait is None:
+            self._kept.charge(organisation, cost)
+            self._own.note_handed_out(organisation, cost, now)
+        return wait
+
+    def _take_units_back(
+        self, organisation: catalogue.Organisation, cost: float, now: float
+    ) -> None:
+        self._kept.charge(organisation, -cost)
+        self._own.give_back(organisation, cost, now)
+
+    def _tell_keepers(self) -> None:
+        usage = self._own.buckets.usage
+        if usage == self._told:
+            return
+        targets = {
+            host
+            for name, units in usage.items()
+            if units != self._told.get(name)
+            for host in self._candidates.list_first(_name(name), KEEPERS)
+            if host != self._host
+        }
+        before, self._told = self._told, dict(usage)
+        news = allowancemessages.KeeperNews(
+            self._incarnation, self._told, before
+        )
+        for host in targets:
+            address = self._hosts.find_address(host)
+            if address is not None:
+                self._hosts.send(news, address)
+
+    def _remember(self, key: tuple[int, int], wait: float | None) -> None:
+        self._answers[key] = wait
+        if len(self._answers) > KEPT_ANSWERS:
+            self._answers.popitem(last=False)
+
+    # Asking.
+
+    def _send(self, question: Question, now: float) -> None:
+        if question.silent >= candidates.MOST_SILENT:
+            self._decide_alone(question, now)
+            return
+        if question.asked_at is None:
+            question.asked_at = now
+            question.target = self._choose(question.organisation, now)
+        question.sent_at = now
+        if question.target == self._host:
+            wait = self._hand_out(question.organisation, question.cost, now)
+            self._answer(question, wait)
+            return
+        request = self._make_request(question, is_returned=False)
+        self._pass(request, question.target)
+
+    def _decide_alone(self, question: Question, now: float) -> None:
+        terms = self._own.find_terms(question.organisation, now)
+        wait = self._own.take(question.organisation, question.cost, terms, now)
+        self._answer(question, wait)
+
+    def _answer(self, question: Question, wait: float | None) -> None:
+        self._questions.pop(question.number, None)
+        question.is_own = wait is None
+        question.wait_s = wait
+        question.answered.set()
+
+    def _choose(
+        self, organisation: catalogue.Organisation, now: float
+    ) -> ids.Host:
+        return self._candidates.choose(_name(organisation.name), now)
+
+    def _make_request(
+        self, question: Question, is_returned: bool
+    ) -> allowancemessages.AllowanceRequest:
+        return allowancemessages.AllowanceRequest(
+            address=self._address,
+            process=self.process,
+            number=question.number,
+            organisation=question.organisation.name,
+            cost=question.cost,
+            is_returned=is_returned,
+        )
+
+    def _pass(
+        self, request: allowancemessages.AllowanceRequest, target: ids.Host
+    ) -> None:
+        address = self._hosts.find_address(target)
+        if address is not None:
+            self._hosts.send(request, address)
+
+
+def _name(organisation: ids.Organisation) -> str:
+    return f'allowance/{organisation}'
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -47,6 +47,7 @@
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.hosts import sharedallowances
 from apricotlandingd.gateway.process import foreigninput
 from apricotlandingd.gateway.process import hoststates
 from apricotlandingd.gateway.process import measures
@@ -217,6 +218,21 @@
             self._candidates,
             self._spread,
         )
+        self._shared_allowances = sharedallowances.SharedAllowances(
+            config.host,
+            config.state,
+            self.incarnation,
+            self._allowances,
+            bounds.quota_slack,
+            self._mesh,
+            self._candidates,
+            self._find_organisation,
+            lambda: self._is_stopping,
+            now,
+        )
+        self._mesh.on_allowance_request = self._shared_allowances.take
+        self._mesh.on_keeper_news = self._shared_allowances.hear_news
+        self._mesh.on_allowance_reply = self._shared_allowances.take_reply
         self._mesh.on_place_request = self._dispatcher.take
         self._mesh.on_place_reply = self._dispatcher.take_reply
         states = hoststates.HostStates(
@@ -235,6 +251,7 @@
         shared = parts.Parts(
             spoken=self._dialect,
             allowances=self._allowances,
+            shared_allowances=self._shared_allowances,
             retry_budget=self._retry_budget,
             dispatcher=self._dispatcher,
             directory=self._directory,
@@ -244,7 +261,7 @@
             find_client=self._clients.find,
             count_hosts=self._mesh.count_hosts,
             is_stopping=lambda: self._is_stopping,
-            on_change=self._mesh.tell,
+            on_change=self._tell_change,
             on_garbled=functools.partial(
                 self._foreign.report, foreigninput.Source.ANSWER
             ),
@@ -324,6 +341,13 @@
         """Return the version in force here; None before the first."""
         return None if self._catalogue is None else self._catalogue.version
 
+    def _find_organisation(
+        self, name: ids.Organisation
+    ) -> catalogue.Organisation | None:
+        if self._catalogue is None:
+            return None
+        return self._catalogue.organisations.get(name)
+
     def list_open_runners(self) -> list[ids.Runner]:
         """Return the runners that take new requests."""
         return [
@@ -490,8 +514,17 @@
 
     # States of hosts.
 
+    def _tell_change(self) -> None:
+        # In a large system coordinators are told, and other hosts go by the
+        # next heartbeat.
+        if not self._mesh.is_divided():
+            self._mesh.tell()
+
     def _take_state(self, state: messages.HostState, now: float) -> None:
         self._allowances.hear(state, now)
+        self._shared_allowances.hear(
+            state.incarnation, state.usage, state.hosts == 0, now
+        )
         if self._mesh.partition.is_near(state.host):
             self._freshness.hear(
                 state.host,
@@ -511,6 +544,7 @@
 
     def _forget_peer(self, state: messages.HostState) -> None:
         self._allowances.forget(state.incarnation)
+        self._shared_allowances.forget(state.incarnation)
         self._freshness.forget(state.host)
 
     # Runners.
@@ -529,6 +563,7 @@
                 )
             self._pump(now)
             self._dispatcher.tick(now)
+            self._shared_allowances.tick(now)
 
     def _pump(self, now: float) -> None:
         self._pumped_at = now
@@ -594,6 +629,7 @@
         self._directory.set_drain_time(bounds.drain_s)
         self._freshness.set_bounds(_find_bounds(bounds))
         self._allowances.set_slack(bounds.quota_slack)
+        self._shared_allowances.set_slack(bounds.quota_slack)
         self._retry_budget.set_bounds(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -14,6 +14,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.hosts import sharedallowances
 from apricotlandingd.gateway.requests import parts
 
 __all__ = ['SOON', 'Admission']
@@ -41,8 +42,8 @@
         # '' until the route is known.
         self.service = ids.Pool('')
         self.organisation: catalogue.Organisation | None = None
-        # Units taken from the organisation's allowance.
-        self.cost = 0.0
+        # What was asked of the organisation's allowance, until it is returned.
+        self._question: sharedallowances.Question | None = None
         self.event_tokens = 1.0
         # Of the configuration that the request was admitted under.
         self.version: ids.Version | None = None
@@ -52,11 +53,11 @@
 
     def give_back(self) -> None:
         """Return what was taken from the allowance: nothing has run."""
-        if self.organisation is not None and self.cost > 0:
-            self._parts.allowances.give_back(
-                self.organisation, self.cost, clocks.read_monotonic()
+        question, self._question = self._question, None
+        if question is not None:
+            self._parts.shared_allowances.give_back(
+                question, clocks.read_monotonic()
             )
-            self.cost = 0.0
 
     async def admit(
         self, headers: dialect.HeaderList, receive: asgi.Receive
@@ -99,15 +100,18 @@
             return errors.make_problem(
                 errors.Kind.BODY_TOO_LARGE, limit=config.limits.body_bytes
             )
-        return self._admit_by_time(clocks.read_monotonic())
+        self._note_arrival(clocks.read_monotonic())
+        return await self._take_units(clocks.read_monotonic())
 
-    def _admit_by_time(self, now: float) -> errors.Problem | None:
+    def _note_arrival(self, now: float) -> None:
         deadline = self.head.deadline_s
         self.given_s = self.route.timeout_s if deadline is None else deadline
         limit = min(self.given_s, self.route.timeout_s)
         self.limit_at = self.arrived_at + limit
         self._parts.habits.note_given(self.route.name, self.given_s)
         self._parts.retry_budget.note_request(self.service, now)
+
+    async def _take_units(self, now: float) -> errors.Problem | None:
         holder = self.organisation
         if holder is None:
             return None
@@ -119,24 +123,32 @@
             # Not "over the allowance": nobody knows that yet.
             return errors.make_problem(errors.Kind.NO_HOSTS, HOSTS_SOON)
         cost = allowances.buckets.find_cost(holder, tokens)
-        terms = allowances.find_terms(holder, now)
-        wait = allowances.take(holder, cost, terms, now)
-        if wait is not None:
-            eliot.log_message(
-                'gateway:over_allowance',
-                attempt=self.head.attempt,
-                organisation=holder.name,
-                cost=cost,
-                wait_s=round(wait, 3),
-                silent_share=round(terms.silent_share, 3),
-                group_part=round(terms.group_part, 3),
-                version=self.version,
-            )
-            return errors.make_problem(
-                errors.Kind.OVER_ALLOWANCE, wait, organisation=holder.name
+        question = self._parts.shared_allowances.ask(holder, cost, now)
+        try:
+            await question.answered.wait()
+        except BaseException:
+            # The caller has left.
+            self._parts.shared_allowances.give_back(
+                question, clocks.read_monotonic()
             )
-        self.cost = cost
-        return None
+            raise
+        if question.wait_s is None:
+            self._question = question
+            return None
+        eliot.log_message(
+            'gateway:over_allowance',
+            attempt=self.head.attempt,
+            organisation=holder.name,
+            cost=cost,
+            wait_s=round(question.wait_s, 3),
+            keeper=question.target,
+            version=self.version,
+        )
+        return errors.make_problem(
+            errors.Kind.OVER_ALLOWANCE,
+            question.wait_s,
+            organisation=holder.name,
+        )
 
 
 def _find_target(scope: asgi.Scope) -> str:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/parts.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/parts.py
@@ -13,6 +13,7 @@
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import dispatch
+from apricotlandingd.gateway.hosts import sharedallowances
 from apricotlandingd.gateway.process import measures
 from apricotlandingd.gateway.requests import habits
 from apricotlandingd.gateway.requests import runnerclient
@@ -29,6 +30,7 @@
 
     spoken: dialect.Dialect
     allowances: allowances.Allowances
+    shared_allowances: sharedallowances.SharedAllowances
     retry_budget: retrybudget.RetryBudget
     dispatcher: dispatch.Dispatcher
     directory: directory.Directory
--- a/tests/manyhosts.py
+++ b/tests/manyhosts.py
@@ -15,9 +15,12 @@
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.hosts import allowancemessages
 from apricotlandingd.gateway.hosts import allowances
+from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.hosts import sharedallowances
 
 __all__ = ['Load', 'Play']
 
@@ -29,6 +32,8 @@
 LONGEST_WAY = 0.02
 # Part of the messages to near hosts that are whole states.
 WHOLE_PART = 0.1
+# Seconds between two looks of a host at its questions.
+TICK = 0.02
 
 
 @dataclasses.dataclass
@@ -45,6 +50,30 @@
     # When the first request comes, and how long the play lasts; seconds.
     begins_at: float = 0.0
     seconds: float = 12.0
+    # Hosts that are killed, and when.
+    killed: tuple[str, ...] = ()
+    killed_at: float = 0.0
+
+
+@dataclasses.dataclass
+class Reached:
+    """The other hosts, as one host's mesh knows and the play reaches them."""
+
+    others: mesh.Mesh
+    send: collections.abc.Callable[[object, addresses.Address], None]
+
+    @property
+    def changes(self) -> int:
+        return self.others.changes
+
+    def is_divided(self) -> bool:
+        return self.others.is_divided()
+
+    def list_coordinators(self) -> list[ids.Host]:
+        return self.others.list_coordinators()
+
+    def find_address(self, host: ids.Host) -> addresses.Address | None:
+        return self.others.find_address(host)
 
 
 @dataclasses.dataclass
@@ -56,6 +85,7 @@
     others: mesh.Mesh
     shared: allowances.Allowances
     process: ids.Incarnation
+    keeper: sharedallowances.SharedAllowances
     number: int = 0
     # Far hosts that have not had their turn.
     turn: list[ids.Host] = dataclasses.field(default_factory=list)
@@ -111,6 +141,12 @@
         return [peers[self.turn.pop()].address]
 
     def take(self, message: object, now: float) -> None:
+        if isinstance(message, allowancemessages.AllowanceRequest):
+            self.keeper.take(message, now)
+        elif isinstance(message, allowancemessages.AllowanceReply):
+            self.keeper.take_reply(message, now)
+        elif isinstance(message, allowancemessages.KeeperNews):
+            self.keeper.hear_news(message, now)
         if isinstance(message, messages.HostChange):
             self.others.take_change(message, now)
         elif isinstance(message, messages.HostState):
@@ -151,16 +187,22 @@
     def play(self) -> None:
         while self._events[0][0] < self.load.seconds:
             now, _, kind, address, item = heapq.heappop(self._events)
+            self.now = now
             if kind == 'start':
                 self.start(address, now)
                 continue
             host = self.hosts.get(address)
-            if host is None:
+            if host is None or self.is_killed(host):
                 continue
             if kind == 'state':
                 host.take(item, now)
             elif kind == 'ask':
                 self.ask(host, now)
+            elif kind == 'look':
+                self.look(host, item, now)
+            elif kind == 'tick':
+                host.keeper.tick(now)
+                self.plan(now + TICK, 'tick', address, None)
             elif kind == 'list':
                 for known in self.hosts:
                     host.others.seek(known)
@@ -178,15 +220,50 @@
         shared = allowances.Allowances(self.load.slack, others, now)
         name = ids.Host(f'host-{address.port}')
         process = ids.make_incarnation(name, str(address), now)
-        others.on_state = shared.hear
-        self.hosts[address] = Host(name, address, others, shared, process)
+        reached = Reached(
+            others,
+            lambda message, target: self.send(message, [target], self.now),
+        )
+        keeper = sharedallowances.SharedAllowances(
+            name,
+            address,
+            process,
+            shared,
+            self.load.slack,
+            reached,
+            candidates.Candidates(name, reached),
+            self.find_organisation,
+            lambda: False,
+            now,
+        )
+
+        def take_state(state: messages.HostState, now: float) -> None:
+            shared.hear(state, now)
+            is_new = state.hosts == 0
+            keeper.hear(state.incarnation, state.usage, is_new, now)
+
+        others.on_state = take_state
+        self.hosts[address] = Host(
+            name, address, others, shared, process, keeper
+        )
         self.plan(
             now + self.spread.uniform(*LIST_TIMES), 'list', address, None
         )
         for kind in ('near', 'far', 'search'):
             self.plan(now, kind, address, None)
+        self.plan(now, 'tick', address, None)
         self.plan(self.find_next(now), 'ask', address, None)
 
+    def find_organisation(
+        self, name: ids.Organisation
+    ) -> catalogue.Organisation | None:
+        organisation = self.load.organisation
+        return organisation if organisation.name == name else None
+
+    def is_killed(self, host: Host) -> bool:
+        load = self.load
+        return host.name in load.killed and self.now >= load.killed_at
+
     def find_next(self, now: float) -> float:
         pause = self.spread.expovariate(1 / self.load.interval_s)
         return max(now, self.load.begins_at) + pause
@@ -194,12 +271,20 @@
     def ask(self, host: Host, now: float) -> None:
         organisation = self.load.organisation
         cost = self.load.draw_cost(self.spread)
-        terms = host.shared.find_terms(organisation, now)
-        if host.shared.take(organisation, cost, terms, now) is None:
-            self.runs.append((now, cost))
+        question = host.keeper.ask(organisation, cost, now)
+        self.look(host, question, now)
+        self.plan(self.find_next(now), 'ask', host.address, None)
+
+    def look(self, host: Host, item: object, now: float) -> None:
+        """Look for the answer a little later, as a waiting task does."""
+        assert isinstance(item, sharedallowances.Question)
+        if not item.answered.is_set():
+            self.plan(now + 0.001, 'look', host.address, item)
+            return
+        if item.wait_s is None:
+            self.runs.append((now, item.cost))
         else:
             self.refused += 1
-        self.plan(self.find_next(now), 'ask', host.address, None)
 
     def tell(self, host: Host, kind: str, now: float) -> None:
         peers = list(host.others.peers.values())
@@ -209,11 +294,11 @@
             change: object = host.make_change()
             if self.spread.random() < WHOLE_PART:
                 change = host.make_state(now, mesh.Scope.WHOLE)
-            self.send(host, change, near, now)
+            self.send(change, near, now)
         elif kind == 'far':
             pause = mesh.FAR_INTERVAL
             state = host.make_state(now, mesh.Scope.FAR)
-            self.send(host, state, host.choose_far(), now)
+            self.send(state, host.choose_far(), now)
         else:
             pause = mesh.SEARCH_INTERVAL
             state = host.make_state(now, mesh.Scope.SOUGHT)
@@ -222,12 +307,11 @@
                 for item in self._addresses
                 if item in host.others.list_sought()
             ]
-            self.send(host, state, sought, now)
+            self.send(state, sought, now)
         self.plan(now + pause, kind, host.address, None)
 
     def send(
         self,
-        host: Host,
         state: object,
         targets: list[addresses.Address],
         now: float,
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -22,6 +22,7 @@
 from apricotlanding import webclient
 from apricotlandingd.gateway.decisions import groupuses
 from apricotlandingd.gateway.decisions import quotas
+from apricotlandingd.gateway.hosts import allowancemessages
 from apricotlandingd.gateway.hosts import coordinator
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
@@ -38,6 +39,7 @@
 import gatewayparts
 import placesplay
 import test_foreign_messages
+import test_gateway_shared_allowances
 
 LONGEST_ERROR = 1000
 FESTIN = gatewayparts.make_organisation(100.0)
@@ -271,6 +273,58 @@
             self.assertTrue(0 <= refused.return_s < math.inf)
 
 
+GOOD_ALLOWANCE_MESSAGES = (
+    allowancemessages.AllowanceRequest(
+        address='127.0.0.1:7600',
+        process=17,
+        number=1,
+        organisation=FESTIN.name,
+        cost=10.0,
+        is_returned=False,
+    ),
+    allowancemessages.AllowanceReply(
+        host=ids.Host('host-2'),
+        process=17,
+        number=1,
+        wait_s=0.5,
+        is_stopping=False,
+    ),
+    allowancemessages.KeeperNews(
+        ids.Incarnation('host-2.1'), {FESTIN.name: 20.0}, {FESTIN.name: 10.0}
+    ),
+)
+
+
+class TestAllowanceMessages(FuzzTestCase):
+    """What hosts send to the one that keeps an allowance for all."""
+
+    @fuzzing.give_examples()
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                *(write_spoiled(item) for item in GOOD_ALLOWANCE_MESSAGES)
+            ),
+            max_size=6,
+        )
+    )
+    def test_messages(self, received: list[bytes]) -> None:
+        play = test_gateway_shared_allowances.Pair()
+        now = 100.0
+        for data in received:
+            now += 0.1
+            message = self.decode(data)
+            if isinstance(message, allowancemessages.AllowanceRequest):
+                play.keeper.take(message, now)
+            elif isinstance(message, allowancemessages.AllowanceReply):
+                play.keeper.take_reply(message, now)
+            elif isinstance(message, allowancemessages.KeeperNews):
+                play.keeper.hear_news(message, now)
+        play.keeper.tick(now)
+        for sent in play.hosts.take_sent():
+            if isinstance(sent, allowancemessages.AllowanceReply):
+                self.assertTrue(0 <= sent.wait_s < math.inf)
+
+
 class ScriptedStream(anyio.abc.ByteStream):
     """A connection whose other side has sent all that it will."""
 
--- a/tests/test_gateway_many_hosts.py
+++ b/tests/test_gateway_many_hosts.py
@@ -12,6 +12,7 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.hosts import allowances
+from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.process import hoststates
 from apricotlandingd.gateway.replication import freshness
@@ -264,6 +265,22 @@
             asked = len(play.runs) + play.refused
             self.assertLessEqual(play.refused, 0.02 * asked)
 
+    def test_bound_is_kept_while_the_keeping_host_is_lost(self) -> None:
+        # Guards against hosts that hand out an allowance again because the
+        # one that kept it for all was killed.
+        load = make_large_load(5.0)
+        name = f'allowance/{load.organisation.name}'
+        hosts = [ids.Host(f'host-{1000 + n}') for n in range(LARGE_HOSTS)]
+        load.killed = tuple(candidates.rank_hosts(name, hosts)[:2])
+        load.killed_at = 20.0
+        allowed = find_allowed(load.organisation, LARGE_SLACK)
+        play = manyhosts.Play(load, LARGE_HOSTS, 3)
+        play.play()
+        self.assertLessEqual(play.find_most(WINDOW_S), allowed)
+        # The rest of the hosts hands it out all the same.
+        owed = LARGE_RATE * (load.seconds - 22.0)
+        self.assertGreaterEqual(play.count_units(22.0), 0.8 * owed)
+
     def test_pressing_organisation_keeps_the_bound(self) -> None:
         # The other side: five times the allowance is asked for at once, in
         # all groups, and no more than the operators' bound runs.
--- /dev/null
+++ b/tests/test_gateway_shared_allowances.py
@@ -0,0 +1,181 @@
+"""An allowance that one host keeps for all, message by message."""
+
+import random
+
+import testtools
+
+from apricotlanding import addresses
+from apricotlanding import ids
+from apricotlandingd.gateway.hosts import allowancemessages
+from apricotlandingd.gateway.hosts import allowances
+from apricotlandingd.gateway.hosts import candidates
+from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.hosts import sharedallowances
+import gatewayparts
+
+FESTIN = gatewayparts.make_organisation(1000.0)
+SLACK = 0.0
+# A time at which hosts have run for long.
+NOW = 100.0
+
+
+class Hosts:
+    """Two hosts of a large system; messages wait until they are passed."""
+
+    def __init__(self, names: list[ids.Host]) -> None:
+        self.changes = 0
+        self.names = names
+        self.sent: list[object] = []
+
+    def is_divided(self) -> bool:
+        return True
+
+    def list_coordinators(self) -> list[ids.Host]:
+        return self.names
+
+    def find_address(self, host: ids.Host) -> addresses.Address | None:
+        return addresses.Address('127.0.0.1', 1 + self.names.index(host))
+
+    def send(self, message: object, address: addresses.Address) -> None:
+        # As on the wire.
+        data = messages.registry.encode(message)
+        self.sent.append(messages.registry.decode(data))
+
+    def take_sent(self) -> list[object]:
+        found, self.sent = self.sent, []
+        return found
+
+
+class Pair:
+    """A host that asks, and the one that keeps the allowance."""
+
+    def __init__(self) -> None:
+        names = [ids.Host('host-1'), ids.Host('host-2')]
+        name = f'allowance/{FESTIN.name}'
+        self.keeper_name, self.asker_name = candidates.rank_hosts(name, names)
+        self.hosts = Hosts(names)
+        self.is_stopping = False
+        self.keeper = self.make(self.keeper_name)
+        self.asker = self.make(self.asker_name)
+
+    def make(self, host: ids.Host) -> sharedallowances.SharedAllowances:
+        address = self.hosts.find_address(host)
+        assert address is not None
+        others = mesh.Mesh(host, address, (), random.Random(1))
+        own = allowances.Allowances(SLACK, others, 0.0)
+        own.note_listed()
+        return sharedallowances.SharedAllowances(
+            host,
+            address,
+            ids.Incarnation(f'{host}/1'),
+            own,
+            SLACK,
+            self.hosts,
+            candidates.Candidates(host, self.hosts),
+            lambda name: FESTIN if name == FESTIN.name else None,
+            lambda: self.is_stopping,
+            0.0,
+        )
+
+    def pass_messages(self, now: float) -> None:
+        for message in self.hosts.take_sent():
+            if isinstance(message, allowancemessages.AllowanceRequest):
+                self.keeper.take(message, now)
+            elif isinstance(message, allowancemessages.AllowanceReply):
+                self.asker.take_reply(message, now)
+
+    def ask(self, cost: float, now: float) -> sharedallowances.Question:
+        question = self.asker.ask(FESTIN, cost, now)
+        self.pass_messages(now)
+        self.pass_messages(now)
+        return question
+
+    def tell_news(self, now: float) -> None:
+        for message in self.hosts.take_sent():
+            if isinstance(message, allowancemessages.KeeperNews):
+                self.asker.hear_news(message, now)
+
+
+class TestKeptAllowance(testtools.TestCase):
+    """One organisation's allowance, kept by one of two hosts."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pair = Pair()
+
+    def test_units_are_handed_out_once(self) -> None:
+        self.assertIsNone(self.pair.ask(1000.0, NOW).wait_s)
+        refused = self.pair.ask(1000.0, NOW)
+        assert refused.wait_s is not None
+        self.assertGreater(refused.wait_s, 0.5)
+
+    def test_lost_reply_costs_nothing(self) -> None:
+        # Guards against an organisation that pays twice for one request
+        # because the first answer was lost.
+        question = self.pair.asker.ask(FESTIN, 600.0, NOW)
+        self.pair.pass_messages(NOW)
+        self.pair.hosts.take_sent()
+        self.pair.asker.tick(NOW + candidates.RESEND_TIME + 0.01)
+        self.pair.pass_messages(NOW)
+        self.pair.pass_messages(NOW)
+        self.assertTrue(question.answered.is_set())
+        self.assertIsNone(question.wait_s)
+        self.assertIsNone(self.pair.ask(400.0, NOW).wait_s)
+
+    def test_returned_units_are_there_again(self) -> None:
+        question = self.pair.ask(1000.0, NOW)
+        self.pair.asker.give_back(question, NOW)
+        self.pair.pass_messages(NOW)
+        self.assertIsNone(self.pair.ask(1000.0, NOW).wait_s)
+
+    def test_refused_units_are_not_returned(self) -> None:
+        # Guards against an allowance that grows with each refusal.
+        self.pair.ask(1000.0, NOW)
+        refused = self.pair.ask(1000.0, NOW)
+        self.pair.asker.give_back(refused, NOW)
+        self.pair.pass_messages(NOW)
+        self.assertIsNotNone(self.pair.ask(1000.0, NOW).wait_s)
+
+    def test_return_that_overtakes_its_question_is_worth_nothing(self) -> None:
+        # Guards against units that are returned and then handed out to a
+        # caller that has left, or returned without having been handed out.
+        question = self.pair.asker.ask(FESTIN, 1000.0, NOW)
+        asked = self.pair.hosts.take_sent()
+        self.pair.asker.give_back(question, NOW)
+        self.pair.pass_messages(NOW)
+        self.pair.hosts.sent = asked
+        self.pair.pass_messages(NOW)
+        self.assertIsNone(self.pair.ask(1000.0, NOW).wait_s)
+        self.assertIsNotNone(self.pair.ask(1000.0, NOW).wait_s)
+
+    def test_silent_keeper_is_passed_over(self) -> None:
+        # Guards against callers that wait for a host that is gone.
+        question = self.pair.asker.ask(FESTIN, 100.0, NOW)
+        self.pair.hosts.take_sent()
+        self.pair.asker.tick(NOW + candidates.SILENT_TIME + 0.01)
+        # The next in the order is the asking host itself.
+        self.assertTrue(question.answered.is_set())
+        self.assertIsNone(question.wait_s)
+
+    def test_next_keeper_knows_what_was_handed_out(self) -> None:
+        # Guards against an allowance that is handed out again because the
+        # host that kept it was lost.
+        now = NOW
+        self.pair.keeper.tick(now)
+        self.pair.tell_news(now)
+        self.assertIsNone(self.pair.ask(1000.0, now).wait_s)
+        self.pair.keeper.tick(now + sharedallowances.NEWS_INTERVAL + 0.01)
+        self.pair.tell_news(now)
+        question = self.pair.asker.ask(FESTIN, 1000.0, now)
+        self.pair.hosts.take_sent()
+        self.pair.asker.tick(now + candidates.SILENT_TIME + 0.01)
+        self.assertTrue(question.answered.is_set())
+        self.assertIsNotNone(question.wait_s)
+
+    def test_keeper_that_stops_is_left(self) -> None:
+        self.pair.is_stopping = True
+        self.pair.ask(100.0, NOW)
+        question = self.pair.asker.ask(FESTIN, 100.0, NOW)
+        # Answered by the next in the order, at once.
+        self.assertTrue(question.answered.is_set())
