Learn how long places are held sooner

Cause, seen in a log of 71 hosts: a new coordinator takes each place to be held for a second and refused callers of a plain service whose requests take 0.05 s.

Change: the first observations count with their full weight, and a new subset begins with what the host's own requests have shown.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -37,7 +37,8 @@
 PARTS = 4000
 # Seconds that a place is held on average, before any request has ended.
 FIRST_HOLD = 1.0
-# Weight of the newest request in the average.
+# Least weight of the newest request in the average: the first ones count more,
+# so that what was assumed before any is soon forgotten.
 HOLD_WEIGHT = 0.05
 # Seconds for which a runner's own statement of its load is used.
 LOAD_TIME = 1.0
@@ -138,6 +139,7 @@
         self.places = places.Places()
         self._loads: dict[ids.RunnerStart, _Load] = {}
         self._holds: dict[ids.Pool, float] = {}
+        self._held: collections.Counter[ids.Pool] = collections.Counter()
         self._parts: collections.OrderedDict[
             tuple[str, ids.RunnerStart], float
         ] = collections.OrderedDict()
@@ -174,8 +176,18 @@
         Only for those that ran to their end: a runner that refuses at once
         would make the wait of all others look short.
         """
-        before = self._holds.get(service, FIRST_HOLD)
-        self._holds[service] = before + (held_s - before) * HOLD_WEIGHT
+        self._held[service] += 1
+        weight = max(HOLD_WEIGHT, 1 / self._held[service])
+        before = self.find_hold(service)
+        self._holds[service] = before + (held_s - before) * weight
+
+    def find_hold(self, service: ids.Pool) -> float:
+        """Return the seconds for which a place is held on average."""
+        return self._holds.get(service, FIRST_HOLD)
+
+    def assume_hold(self, service: ids.Pool, held_s: float) -> None:
+        """Take an average that another scheduler has learned."""
+        self._holds[service] = held_s
 
     def note_load(
         self, runner: ids.RunnerStart, load: tuple[int, int], now: float
@@ -334,7 +346,7 @@
     ) -> None:
         total = sum(entry.slots for entry in view.entries)
         free = view.count_free()
-        hold = self._holds.get(service, FIRST_HOLD)
+        hold = self.find_hold(service)
         # Those that wait here and go first. One that is refused is out of
         # the way of the next.
         kept = 0.0
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
@@ -117,10 +117,13 @@
         spread: random.Random,
         is_stopping: collections.abc.Callable[[], bool],
         knows_runners: collections.abc.Callable[[], bool],
+        find_hold: collections.abc.Callable[[ids.Pool], float],
     ) -> None:
         """Start without subsets.
 
         While ``knows_runners`` says no, this host answers nobody.
+        ``find_hold`` returns how long this host's own requests hold a place
+        of a service, for subsets of which nothing is known yet.
         """
         self._host = host
         self._runners = runners
@@ -130,6 +133,7 @@
         self._spread = spread
         self._is_stopping = is_stopping
         self._knows_runners = knows_runners
+        self._find_hold = find_hold
         self._schedules: dict[subsets.Subset, _Schedule] = {}
         # The last host that could not reach a runner, and when.
         self._missed: dict[ids.RunnerStart, tuple[int, float]] = {}
@@ -192,6 +196,8 @@
                     self._spread,
                 )
             )
+            held_s = self._find_hold(subset.service)
+            found.decisions.assume_hold(subset.service, held_s)
             self._schedules[subset] = found
         return found
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -210,6 +210,7 @@
                 self._spread,
                 lambda: self._is_stopping,
                 lambda: records.has_all(self._board.positions),
+                self._scheduler.find_hold,
             ),
             self._directory,
             self._paces,
--- a/tests/placesplay.py
+++ b/tests/placesplay.py
@@ -201,10 +201,7 @@
         address = addresses.Address('127.0.0.1', 1000 + number)
         process = ids.make_incarnation(name, str(address), 0.0)
         paces, fitness = pace.Paces(), health.Health()
-        count = max(1, round(self.load.hosts / PARTITION_HOSTS))
-        local = scheduler.Scheduler(
-            self.known, paces, fitness, _Alone(count), self.spread
-        )
+        local = self.make_scheduler(paces, fitness)
         own = coordinator.Coordinator(
             name,
             self.known,
@@ -213,6 +210,7 @@
             self.spread,
             lambda: False,
             lambda: True,
+            local.find_hold,
         )
         hosts = _Known(self, name)
         found = dispatch.Dispatcher(
@@ -230,6 +228,21 @@
         )
         return Host(name, address, found, own)
 
+    def make_scheduler(
+        self,
+        paces: pace.Paces | None = None,
+        fitness: health.Health | None = None,
+    ) -> scheduler.Scheduler:
+        """Return what a host decides by that reaches no coordinator."""
+        count = max(1, round(self.load.hosts / PARTITION_HOSTS))
+        return scheduler.Scheduler(
+            self.known,
+            paces or pace.Paces(),
+            fitness or health.Health(),
+            _Alone(count),
+            self.spread,
+        )
+
     # Events.
 
     def plan(
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -216,6 +216,7 @@
             random.Random(1),
             lambda: False,
             lambda: True,
+            lambda service: 1.0,
         )
         now = 1.0
         for data in received:
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -176,6 +176,7 @@
             random.Random(1),
             lambda: False,
             lambda: True,
+            lambda service: 1.0,
         )
         self.number = 0
 
@@ -218,6 +219,23 @@
         self.assertGreater(found.start_s, 2.0)
 
 
+class TestHolds(testtools.TestCase):
+    """How long a place is held, as a new coordinator learns it."""
+
+    def test_first_requests_count_more(self) -> None:
+        # Guards against callers of a quick service that a new coordinator
+        # refuses because it takes each place to be held for a second.
+        found = placesplay.Play(placesplay.Load(hosts=1), 1).make_scheduler()
+        found.note_hold(gatewayparts.POOL, 0.05)
+        self.assertAlmostEqual(0.05, found.find_hold(gatewayparts.POOL))
+        found.note_hold(gatewayparts.POOL, 0.15)
+        self.assertAlmostEqual(0.1, found.find_hold(gatewayparts.POOL))
+        for _ in range(200):
+            found.note_hold(gatewayparts.POOL, 0.05)
+        found.note_hold(gatewayparts.POOL, 1.05)
+        self.assertAlmostEqual(0.1, found.find_hold(gatewayparts.POOL), 2)
+
+
 class TestLostCoordinators(testtools.TestCase):
     """Coordinators that end, freeze, or are cut off."""
 
