--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -81,6 +81,8 @@
 # one group; of several, records also spread from group to group.
 READERS = 8
 GROUP_READERS = 3
+# Groups in which hosts follow the store; the others hear from these.
+READING_GROUPS = 4
 # Seconds between looks at the settings file.
 SETTINGS_INTERVAL = 1.0
 # Seconds between tries to state this host and read the others.
@@ -368,6 +370,9 @@
         else:
             self._take_runner(record, now)
         self._scheduler.pump(now)
+        if self._mesh.is_divided():
+            # Few hosts follow the store; the others hear from each other.
+            self._mesh.tell()
 
     def _note_damage(
         self, topic: dialect.Topic, damage: dialect.Damage
@@ -461,13 +466,19 @@
             peer for peer in self._mesh.list_heard() if peer.state.reads_store
         ]
         before = sum(peer.is_near and peer.state.host < own for peer in heard)
-        is_divided = self._mesh.partition.count > 1
         return freshness.Readers(
             others=tuple(peer.state.host for peer in heard),
             own=own,
-            is_reading=before < (GROUP_READERS if is_divided else READERS),
+            is_reading=before < self._count_readers(),
         )
 
+    def _count_readers(self) -> int:
+        # In this host's group.
+        partition = self._mesh.partition
+        if partition.count == 1:
+            return READERS
+        return GROUP_READERS if partition.own < READING_GROUPS else 0
+
     def _reads_store(self, now: float) -> bool:
         return all(
             reader.heard_at is not None
