Look only at waiting requests for new decisions of a coordinator

Cause: after each message a coordinator looked at all hosts that hold or want a place; at 195 hosts that grows with the hosts. Now it looks at what waits. Behaviour is unchanged but for the order of replies, which is by process.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
@@ -85,14 +85,6 @@
         default_factory=dict
     )
     held: dict[int, ids.RunnerStart] = dataclasses.field(default_factory=dict)
-    # Decided tickets that a reply has told.
-    told: set[int] = dataclasses.field(default_factory=set)
-
-    def has_news(self) -> bool:
-        return any(
-            ticket.decision is not None and number not in self.told
-            for number, ticket in self.tickets.items()
-        )
 
 
 @ty.final
@@ -101,7 +93,23 @@
     """One subset, as this host coordinates it."""
 
     decisions: scheduler.Scheduler
+    # By the digest of the process.
     clients: dict[int, _Client] = dataclasses.field(default_factory=dict)
+    # What waits, by process and number of the place.
+    open: dict[tuple[int, int], waiting.Ticket] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def take_decided(self) -> set[int]:
+        """Return the processes for which there are new decisions."""
+        decided = [
+            key
+            for key, ticket in self.open.items()
+            if ticket.decision is not None
+        ]
+        for key in decided:
+            del self.open[key]
+        return {process for process, _ in decided}
 
 
 @ty.final
@@ -159,9 +167,8 @@
             self._learn(schedule, request, item, now)
         self._settle(schedule, subset, client, request, now)
         self._enter(schedule, client, request, now)
-        return self._answer(
-            subset, schedule, client if request.wants_reply else None, now
-        )
+        asking = request.process if request.wants_reply else None
+        return self._answer(subset, schedule, asking, now)
 
     def pump(self, now: float) -> list[Outgoing]:
         """Decide by time; return the replies."""
@@ -215,7 +222,7 @@
             if number in request.wanted:
                 continue
             del client.tickets[number]
-            client.told.discard(number)
+            schedule.open.pop((request.process, number), None)
             if isinstance(ticket.decision, waiting.Grant):
                 client.held[number] = ticket.decision.runner
             elif ticket.decision is None:
@@ -250,6 +257,7 @@
                 continue
             ticket = self._make_ticket(request, number, wanted, now)
             client.tickets[number] = ticket
+            schedule.open[request.process, number] = ticket
             schedule.decisions.enter(ticket, now)
 
     def _make_ticket(
@@ -283,7 +291,8 @@
             if now - client.heard_at <= CLIENT_TIMEOUT:
                 continue
             del schedule.clients[process]
-            for ticket in client.tickets.values():
+            for number, ticket in client.tickets.items():
+                schedule.open.pop((process, number), None)
                 if ticket.decision is None:
                     schedule.decisions.leave(ticket)
                 elif isinstance(ticket.decision, waiting.Grant):
@@ -299,16 +308,18 @@
         self,
         subset: subsets.Subset,
         schedule: _Schedule,
-        asking: _Client | None,
+        asking: int | None,
         now: float,
     ) -> list[Outgoing]:
+        told = schedule.take_decided()
+        if asking is not None:
+            told.add(asking)
+        if not told:
+            return []
+        free = schedule.decisions.count_free(subset.service, now)
         found: list[Outgoing] = []
-        free: int | None = None
-        for process, client in schedule.clients.items():
-            if client is not asking and not client.has_news():
-                continue
-            if free is None:
-                free = schedule.decisions.count_free(subset.service, now)
+        for process in sorted(told):
+            client = schedule.clients[process]
             reply = self._make_reply(subset, process, client, free)
             found.append(Outgoing(client.address, reply))
         return found
@@ -326,7 +337,6 @@
             decision = ticket.decision
             if decision is None:
                 continue
-            client.told.add(number)
             if isinstance(decision, waiting.Grant):
                 granted[number] = messages.digest_start(decision.runner)
                 continue
