Count places that coordinators granted when a host decides alone

Cause, by reading: a host that loses its coordinators decides with a scheduler that knew nothing of the places that its requests hold already, and would fill the same runners again; its group was not told of them either.

Change: places granted by coordinators count there as well until they are given back. Test: failing before (0 places counted of nine held), passing after.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
@@ -153,7 +153,10 @@
             self._local.release(service, grant.runner, now)
             return
         start = self._held.pop(grant.number, None)
-        subset = None if start is None else self._find_subset(start)
+        if start is None:
+            return
+        self._local.places.release(start)
+        subset = self._find_subset(start)
         if subset is not None:
             self._send(self._open(subset, now), now, wants_reply=False)
 
@@ -347,6 +350,8 @@
             return
         self._withdraw(number, subset, now)
         self._held[number] = entry.start
+        # Counts when this host decides by itself, and is told to its group.
+        self._local.places.take(entry.start)
         item.ticket.decide(waiting.Grant(entry.start, number))
 
     def _renew(
--- a/tests/placesplay.py
+++ b/tests/placesplay.py
@@ -146,6 +146,8 @@
     address: addresses.Address
     dispatcher: dispatch.Dispatcher
     own: coordinator.Coordinator
+    # What it decides by when it reaches no coordinator.
+    local: scheduler.Scheduler
     is_up: bool = True
     # Hosts that it cannot reach, nor they it.
     cut_from: set[ids.Host] = dataclasses.field(default_factory=set)
@@ -226,7 +228,7 @@
             candidates.Candidates(name, hosts),
             self.spread,
         )
-        return Host(name, address, found, own)
+        return Host(name, address, found, own, local)
 
     def make_scheduler(
         self,
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -8,6 +8,7 @@
 
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import subsets
+from apricotlandingd.gateway.decisions import waiting
 from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import coordinator
 from apricotlandingd.gateway.hosts import messages
@@ -273,6 +274,35 @@
         self.assertLessEqual(outcome.find_refused(), 0.002)
         self.assertLessEqual(outcome.longest_s, 0.6)
 
+    def test_places_held_before_the_cut_count_alone(self) -> None:
+        # Guards against a host that fills a runner again when it loses its
+        # coordinators.
+        load = placesplay.Load(
+            hosts=HOSTS, runners=RUNNERS, part=0.0001, seconds=1.0
+        )
+        play = placesplay.Play(load, 5)
+        host = play.hosts[ids.Host('host-7')]
+        tickets = [
+            gatewayparts.make_ticket(f'b{number}', 0.0) for number in range(9)
+        ]
+        for ticket in tickets:
+            host.dispatcher.enter(ticket, 0.0)
+        play.play()
+        held = [
+            ticket.decision.runner
+            for ticket in tickets
+            if isinstance(ticket.decision, waiting.Grant)
+        ]
+        self.assertEqual(9, len(held))
+        for runner in held:
+            self.assertGreater(host.local.places.running[runner], 0)
+        for ticket in tickets:
+            assert isinstance(ticket.decision, waiting.Grant)
+            host.dispatcher.release(
+                gatewayparts.POOL, ticket.decision, play.now
+            )
+        self.assertEqual(0, sum(host.local.places.running.values()))
+
     def test_halves_that_are_cut_apart_both_go_on(self) -> None:
         play = self.make_play(4)
         names = list(play.hosts)
