--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/groupuses.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/groupuses.py
@@ -14,7 +14,7 @@
 proportion to what callers ask for in each. The parts of all groups add up to
 the whole when all have heard the same, and an organisation whose callers all
 come to one group has nearly all of its allowance there. Divided alone, it
-refused organisations that asked for half of what they may: a sixth of a bucket
+would refuse organisations that ask for less than they may: a part of a bucket
 holds few large requests, and parts follow each one that comes.
 """
 
@@ -29,8 +29,6 @@
 
 # Part of the allowance, over all groups, that is divided equally: a group at
 # which an organisation's callers begin to ask can serve the first of them.
-# Chosen, not measured: with allowances of 1.8 times the usual use, a part of
-# this size leaves each group more than it uses.
 EQUAL_PART = 0.15
 # Seconds for which what a settled host said of its group stands against one
 # that has just started: hosts of a group are heard in turn, each group about
@@ -60,9 +58,8 @@
         """Take what a host of another group says of its group.
 
         One that is not settled has just started and has heard next to nothing
-        of its group. Taken for the last word, it had the others hand out a
-        whole allowance again: in a play of two groups, one of which has hosts
-        that start again and again, 12,400 units in six seconds; now 2,600.
+        of its group. Taken for the last word, it would have the others hand
+        out a whole allowance again.
         """
         if is_settled:
             self._settled_at[group] = now
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
@@ -16,8 +16,7 @@
 
 __all__ = ['Option', 'choose_runner']
 
-# A full runner generates about a quarter slower than one with a single
-# request: 4.7 against 3.8 ms a step for the engines known to us.
+# Part by which a full runner generates slower than one with a single request.
 FULL_SLOWDOWN = 0.25
 # Part of the time to read the prompt by which the runner that a prompt's last
 # part belongs to is preferred, before it is known to keep the part. All hosts
@@ -25,9 +24,7 @@
 # part is its session's, or the request's own; then the home is one drawn for
 # each request, and that has a worth of its own: hosts that decide at the same
 # moment do not all choose the best runner, where prompts wait to be read one
-# after the other. Without it the worst seconds of a quiet day of nine hosts
-# fell from 0.98 to 0.95 and from 0.99 to 0.95 (two seeds). Small enough that
-# speed and load go first.
+# after the other. Small enough that speed and load go first.
 HOME_PREFERENCE = 0.5
 
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/quotas.py
@@ -168,9 +168,9 @@
         """Take the levels that a peer states, if this process is young.
 
         Without them, a process that starts takes its buckets for empty or
-        half full. Empty, it refused organisations that asked for half of what
-        they may, for five seconds; half full, hosts that restarted one after
-        another handed out 23,800 units in 8 s where 21,800 were allowed.
+        half full. Empty, it refuses organisations that ask for less than they
+        may; half full, hosts that restart one after another hand out more
+        than the operators allow.
         """
         if now - self._started_at > YOUNG:
             return
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/allowances.py
@@ -1,9 +1,11 @@
-"""What hosts tell each other of organisations' allowances.
+"""What this host knows of organisations' allowances by itself.
 
 Ties the buckets of this host (``quotas``) to what the other hosts say
 (``mesh``): near hosts state what they handed out, and it is taken out of the
 buckets here; other groups state what they are asked for and hand out a second
-(``groupuses``). A request's way asks this module alone.
+(``groupuses``). Up to some twenty hosts all go by their own buckets; in a
+larger system that is for those that reach no host that keeps an allowance for
+all (``sharedallowances``).
 """
 
 import collections
@@ -29,12 +31,9 @@
 # Seconds after the start of a process, and beside them one turn of all far
 # hosts, in which its group has no more than an equal part. What is asked for
 # is averaged over two seconds: until all are heard with their own averages,
-# each of the groups that start together takes the others for idle. Played
-# without a network, groups of forty hosts used 1.2 to 1.9 allowances between
-# them for three seconds, and now one.
+# each of the groups that start together takes the others for idle.
 UNSETTLED_TIME = 3.0
-# Seconds over which the units handed out are averaged: as far apart as the
-# messages of a group that is heard least, in a system of a hundred hosts.
+# Seconds over which the units handed out are averaged.
 USED_TIME = 1.0
 # Seconds in which another group may have handed out what it is asked for
 # before this host hears of it: the time between its messages, and the lag of
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -43,8 +43,7 @@
 # Seconds between messages to near peers when nothing changes.
 HEARTBEAT = 0.25
 # Least seconds between messages to near peers, for the square of their
-# number, as the messages in a group grow: seven hosts send at most every
-# 18 ms, twelve at most every 60 ms. Each costs about 2% of a core.
+# number, as the messages in a group grow.
 INTERVAL_A_SQUARE = 0.0005
 # Seconds between messages to far peers, each of which gets one in its turn: of
 # four groups, a host hears each other one about three times a second.
@@ -151,9 +150,8 @@
         for seed in seeds:
             self.seek(seed)
         self._changed = anyio.Event()
-        # Sends at once or not at all, so that no task waits for another one.
-        # Through the event loop, sending to twelve peers took 0.34 s of a
-        # host's 2.1 s of work in 9 s, by a profiler in the process.
+        # Sends at once or not at all, so that no task waits for another one;
+        # the event loop would add a wake-up for each message.
         self._sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sender.setblocking(False)
         self._number = 0
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/messages.py
@@ -56,8 +56,7 @@
 def digest_start(start: ids.RunnerStart) -> int:
     """Return the 32 bits that stand for a runner's start in a message.
 
-    Of 2,100 runners, two have the same digest in one deployment of 2,000;
-    each then seems to hold the other's requests as well.
+    Two runners with the same digest seem to hold each other's requests.
     """
     return xxhash.xxh32_intdigest(start.encode())
 
@@ -76,8 +75,7 @@
 def read_address(text: str) -> addresses.Address:
     """Return the address in a message; ValueError if it is none.
 
-    Each message names its sender's address, and there are few hosts: parsing
-    them anew took 0.14 s of a host's 2.1 s of work in 9 s.
+    Each message names its sender's address, and there are few hosts.
     """
     address = addresses.parse_address(text)
     if address.port == 0:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -32,7 +32,7 @@
 DRAIN_MARGIN = 0.5
 # Seconds for which the birth of a runner that is gone is remembered: longer
 # than the few seconds that the store may take to carry out a write of an
-# earlier start. Chosen, not measured.
+# earlier start.
 BIRTH_MEMORY = 15.0
 
 
