Ask a coordinator five times before it is passed over

The play was not a matter of its seed alone: each host's process had a random name. Of ten messages one is lost, so three tries fail 7 times in 1,000, and a coordinator that lives is passed over; for a second two hosts grant places of the same runners.

Change: a message is repeated at each look, five times until a host is passed over. The plays' processes have fixed names.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/candidates.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/candidates.py
@@ -27,7 +27,7 @@
 
 # Seconds without a reply after which a message is sent again, and after which
 # the host is passed over.
-RESEND_TIME = 0.03
+RESEND_TIME = 0.015
 SILENT_TIME = 0.09
 # Silent hosts in a row after which a host decides by itself.
 MOST_SILENT = 2
--- a/tests/placesplay.py
+++ b/tests/placesplay.py
@@ -201,7 +201,7 @@
     def make_host(self, number: int) -> Host:
         name = ids.Host(f'host-{number}')
         address = addresses.Address('127.0.0.1', 1000 + number)
-        process = ids.make_incarnation(name, str(address), 0.0)
+        process = ids.Incarnation(f'{name}/1')
         paces, fitness = pace.Paces(), health.Health()
         local = self.make_scheduler(paces, fitness)
         own = coordinator.Coordinator(
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -104,10 +104,11 @@
         self.assertLessEqual(outcome.refused[1], 0.25 * asked)
 
     def test_lost_messages_are_made_good(self) -> None:
-        outcome = self.play(5, part=0.8, loss=0.1)
-        self.assertLessEqual(outcome.find_refused(), 0.002)
-        self.assertLessEqual(outcome.find_queued(), 0.05)
-        self.assertLessEqual(outcome.find_wait(), 0.05)
+        for seed in (2, 3, 5):
+            outcome = self.play(seed, part=0.8, loss=0.1)
+            self.assertLessEqual(outcome.find_refused(), 0.002)
+            self.assertLessEqual(outcome.find_queued(), 0.05)
+            self.assertLessEqual(outcome.find_wait(), 0.05)
 
 
 class TestUnevenLoad(testtools.TestCase):
