Log why a runner cut requests, and what the requests asked for

Cause: the logs of the incident of requests that crash runners do not name the content of a request, and gateway:runner_failed reads alike for a process that ended, one that leaves as planned, and one that closed a connection. So the hypotheses (equal requests at several hosts; retries of the hosts; runners that end for another reason) cannot be told apart.

Change: gateway:runner_failed has the content key of the request, a digest of organisation, method, host name, path and body. After a cut, one connection attempt for all requests cut at that runner shows whether its process is there; gateway:runner_cut says the cause with its inputs, and the metric runner_crashes_total counts crashes. No attempt is made for a runner that is draining, has left or was replaced: its end is planned or known. Registrations older than the drain time prove nothing, so the cause is then unknown.

A repeatable request waits up to 0.05 s for the cause before it is sent again; nothing is decided by it yet.

Tests: in a run of all tests one failed, which counts connections of a replaced runner (2, one more with the attempt); with no attempt for replaced runners it passes again, with the two files that test runners.

--- a/packages/apricotlanding/src/apricotlanding/ids.py
+++ b/packages/apricotlanding/src/apricotlanding/ids.py
@@ -27,6 +27,8 @@
 import xxhash
 
 __all__ = [
+    'ContentKey',
+    'Crash',
     'Domain',
     'Epoch',
     'Host',
@@ -43,6 +45,7 @@
     'Version',
     'parse_runner',
     'has_ended',
+    'identify_crash',
     'is_earlier_start',
     'make_incarnation',
     'make_runner_start',
@@ -63,6 +66,10 @@
 Incarnation = ty.NewType('Incarnation', str)
 # An idempotency key as the caller sent it, in canonical UUID form.
 Key = ty.NewType('Key', str)
+# 64-bit digest of a request's content; see ``contentkeys``.
+ContentKey = ty.NewType('ContentKey', int)
+# 64-bit digest that identifies one crash of a runner on all hosts.
+Crash = ty.NewType('Crash', int)
 # ``claims/N`` or ``pool/NAME``.
 Shard = ty.NewType('Shard', str)
 # Counts the owners of a shard, from 1; also the fencing number.
@@ -151,3 +158,12 @@
     if value.version != _UUIDV7:
         return None
     return (value.int >> 80) / 1000.0
+
+
+def identify_crash(start: RunnerStart, number: int) -> Crash:
+    """Return the identifier of a crash.
+
+    ``number`` counts the crashes of a start that its runner survived; 0 for
+    the first one.
+    """
+    return Crash(xxhash.xxh3_64_intdigest(f'{number}/{start}'.encode()))
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -10,6 +10,7 @@
     ├── join         publishes this host and finds the others
     ├── pump         schedules waiting requests at an interval
     ├── tidy         drops connections, runners and peers that are gone
+    ├── crashes      finds out why runners cut requests
     ├── restarts     closes connections of runners that restarted
     ├── settings     reloads the settings when they were written
     └── signals      SIGTERM stops, SIGHUP reloads the settings
@@ -64,6 +65,7 @@
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclients
 from apricotlandingd.gateway.requests import sharedstate
+from apricotlandingd.gateway.runners import crashes
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
@@ -186,6 +188,11 @@
         self._stalls = stalls.StallDetector()
         self._latencies = latency.LatencyEstimates()
         self._health = health.Health()
+        self._crash_detector = crashes.CrashDetector(
+            self._directory,
+            lambda now: self._freshness.is_current(dialect.RUNNERS, now),
+            self._handle_crash,
+        )
         self._allowances = allowances.Allowances(
             bounds.quota_slack, self._mesh, now
         )
@@ -264,6 +271,7 @@
             dispatcher=self._dispatcher,
             directory=self._directory,
             latencies=self._latencies,
+            crash_detector=self._crash_detector,
             telemetry=self._telemetry,
             find_catalogue=lambda: self._catalogue,
             find_client=self._clients.find,
@@ -315,6 +323,7 @@
             tree.start('pump', self._pump_forever)
             tree.start('tidy', self._clean_up_forever)
             tree.start('restarts', self._clients.run)
+            tree.start('crashes', self._crash_detector.run)
             tree.start('signals', self._watch_signals)
             tree.start('settings', self._watch_settings)
             eliot.log_message('gateway:started', incarnation=self.incarnation)
@@ -600,11 +609,17 @@
             entries = self._directory.list_all()
             known = {entry.start for entry in entries}
             self._health.retain_only(known)
+            self._crash_detector.retain_only(known)
             self._latencies.retain_only(known)
             self._scheduler.keep_only(known)
             self._dispatcher.keep_only(known)
             await self._clients.prune(entries, now)
 
+    def _handle_crash(
+        self, crash: ids.Crash, keys: set[ids.ContentKey], now: float
+    ) -> None:
+        self._telemetry.count('runner_crashes_total')
+
     # Stopping.
 
     async def _watch_signals(self) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/freshness.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/freshness.py
@@ -74,6 +74,7 @@
         """
         self._replica = replica
         self.timing: dict[dialect.Topic, timing.Timing] = {}
+        self._bounds: dict[dialect.Topic, float] = {}
         self.set_bounds(bounds)
         self._own: dict[dialect.Topic, float] = {}
         # Near peers were sent the ages of the newest answers.
@@ -84,6 +85,7 @@
 
     def set_bounds(self, bounds: dict[dialect.Topic, float]) -> None:
         """Replace the operators' bounds."""
+        self._bounds = bounds
         self.timing = {
             topic: timing.derive_timing(bound)
             for topic, bound in bounds.items()
@@ -188,6 +190,11 @@
             + self._count_hosts_ahead(topic, readers) * limits.probe_stagger_s
         )
 
+    def is_current(self, topic: dialect.Topic, now: float) -> bool:
+        """Tell whether all changes before the topic's bound are known."""
+        newest = self._find_newest(topic)
+        return newest is not None and now - newest <= self._bounds[topic]
+
     def _find_reported(
         self, topic: dialect.Topic, is_reader: bool
     ) -> float | None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -4,12 +4,14 @@
 sent, so each refusal here says "not run". ``exchange`` continues from here.
 """
 
+import functools
 import typing as ty
 
 import eliot
 
 from apricotlanding import asgi
 from apricotlanding import clocks
+from apricotlanding import contentkeys
 from apricotlanding import errors
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
@@ -53,6 +55,16 @@
         self.caller_timeout_s = 0.0
         self.deadline_at = 0.0
 
+    @functools.cached_property
+    def content_key(self) -> ids.ContentKey:
+        """The key that all attempts with this content share."""
+        holder = self.organisation
+        return contentkeys.derive_key(
+            None if holder is None else holder.name,
+            f'{self.method} {self.head.hostname}{self.target}',
+            self.body,
+        )
+
     def return_allowance(self) -> None:
         """Return what was taken from the allowance; nothing has run."""
         question, self._allowance_request = self._allowance_request, None
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -25,6 +25,7 @@
 
 from apricotlanding import asgi
 from apricotlanding import clocks
+from apricotlanding import contentkeys
 from apricotlanding import errors
 from apricotlanding import ids
 from apricotlanding import taskgroups
@@ -49,6 +50,8 @@
 # can be asked if it breaks off; larger ones are forwarded as they arrive.
 MAX_HELD_BYTES = 256 * 1024
 MIN_FAILURE_STATUS = 500
+# Time for finding out why a runner cut a request, before it is sent again.
+CAUSE_TIMEOUT_S = 0.05
 
 
 class _SendResult(enum.Enum):
@@ -313,6 +316,8 @@
                 runner = ids.parse_runner(entry.start)
                 self._shared.on_malformed_answer(runner, str(error), now)
             self._note_failure(entry, is_reached=True)
+            if isinstance(error, webclient.Broken):
+                await self._report_cut(entry)
             return _SendResult.FAILED
 
     def _make_call(
@@ -336,6 +341,19 @@
             is_repeatable=self._admission.route.is_repeatable(),
         )
 
+    async def _report_cut(self, entry: dialect.RunnerEntry) -> None:
+        if clocks.read_monotonic() >= self._admission.deadline_at:
+            # The runner stopped at the deadline that was sent to it.
+            return
+        finished = self._shared.crash_detector.report_cut(
+            entry, self._admission.content_key
+        )
+        if not self._may_abandon():
+            return
+        # Whether the request is sent again depends on the cause.
+        with anyio.move_on_after(CAUSE_TIMEOUT_S):
+            await finished.wait()
+
     def _note_failure(
         self, entry: dialect.RunnerEntry, is_reached: bool
     ) -> None:
@@ -354,6 +372,7 @@
             runner=ids.parse_runner(entry.start),
             is_reached=is_reached,
             detail=self._detail,
+            content=contentkeys.format_key(self._admission.content_key),
         )
 
     # Inactivity.
@@ -448,6 +467,7 @@
                 self._note(entry, observations.Kind.GONE)
             await _discard_body(answer)
             return _SendResult.NOT_RUN
+        self._shared.crash_detector.note_answer(entry.start)
         if not head.is_sealed:
             raise webclient.Broken(f'status {head.status} without a mark')
         if self._reply.has_begun or self._is_event_stream(head):
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -17,6 +17,7 @@
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.runners import crashes
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import latency
 
@@ -35,6 +36,7 @@
     dispatcher: dispatch.Dispatcher
     directory: directory.Directory
     latencies: latency.LatencyEstimates
+    crash_detector: crashes.CrashDetector
     telemetry: telemetry.MetricRegistry
     find_catalogue: collections.abc.Callable[[], catalogue.Catalogue | None]
     find_client: collections.abc.Callable[
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
@@ -0,0 +1,161 @@
+"""Detection of runners whose process ended while requests were in progress.
+
+When a runner closes the connection of a request, one attempt to connect shows
+whether its process is still there. Requests that are cut at the same time
+share the attempt.
+"""
+
+import collections.abc
+import dataclasses
+import typing as ty
+
+import anyio
+import eliot
+
+from apricotlanding import addresses
+from apricotlanding import clocks
+from apricotlanding import contentkeys
+from apricotlanding import ids
+from apricotlandingd.gateway.decisions import cuts
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.runners import directory
+
+__all__ = ['CrashDetector']
+
+# Seconds for the connection attempt.
+CONNECT_TIMEOUT_S = 0.5
+# Requests cut at one runner beyond this number are not examined: a runner
+# runs fewer at once.
+MAX_CUT_REQUESTS = 256
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class _Inquiry:
+    """Requests that one start of a runner cut, until the cause is known."""
+
+    entry: dialect.RunnerEntry
+    keys: set[ids.ContentKey] = dataclasses.field(default_factory=set)
+    finished: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+@ty.final
+@dataclasses.dataclass(slots=True)
+class _Crashed:
+    """Crashes of one start of a runner."""
+
+    # Number of the latest one, from 0.
+    number: int = 0
+    # The runner has answered since.
+    is_back: bool = False
+
+
+@ty.final
+class CrashDetector:
+    """Finds out why runners cut requests."""
+
+    def __init__(
+        self,
+        runners: directory.Directory,
+        is_current: collections.abc.Callable[[float], bool],
+        on_crash: collections.abc.Callable[
+            [ids.Crash, set[ids.ContentKey], float], None
+        ],
+    ) -> None:
+        """Start without cut requests.
+
+        ``is_current`` tells whether the registrations are recent.
+        ``on_crash`` is called once for each crash that is found, with the
+        content keys of the requests that it cut.
+        """
+        self._runners = runners
+        self._is_current = is_current
+        self._on_crash = on_crash
+        self._inquiries: dict[ids.RunnerStart, _Inquiry] = {}
+        self._crashed: dict[ids.RunnerStart, _Crashed] = {}
+        self._new: list[_Inquiry] = []
+        self._has_new = anyio.Event()
+
+    def report_cut(
+        self, entry: dialect.RunnerEntry, key: ids.ContentKey
+    ) -> anyio.Event:
+        """Examine why a runner cut a request.
+
+        Returns an event that is set when the cause is known.
+        """
+        inquiry = self._inquiries.get(entry.start)
+        if inquiry is None:
+            inquiry = _Inquiry(entry)
+            self._inquiries[entry.start] = inquiry
+            self._new.append(inquiry)
+            self._has_new.set()
+        if len(inquiry.keys) < MAX_CUT_REQUESTS:
+            inquiry.keys.add(key)
+        return inquiry.finished
+
+    def note_answer(self, start: ids.RunnerStart) -> None:
+        """Note an answer: the runner is back if it had crashed."""
+        crashed = self._crashed.get(start)
+        if crashed is not None:
+            crashed.is_back = True
+
+    def retain_only(self, runners: set[ids.RunnerStart]) -> None:
+        """Forget all other runners."""
+        for start in set(self._crashed) - runners:
+            del self._crashed[start]
+
+    async def run(self) -> None:
+        """Examine cuts until cancelled."""
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._has_new.wait()
+                self._has_new = anyio.Event()
+                while self._new:
+                    group.start_soon(self._examine, self._new.pop())
+
+    async def _examine(self, inquiry: _Inquiry) -> None:
+        start = inquiry.entry.start
+        liveness = cuts.Liveness.UNTRIED
+        if not cuts.is_leaving(self._runners.find(start)):
+            liveness = await _connect(inquiry.entry.address)
+        now = clocks.read_monotonic()
+        cause = cuts.find_cause(
+            self._runners.find(start), liveness, self._is_current(now)
+        )
+        del self._inquiries[start]
+        eliot.log_message(
+            'gateway:runner_cut',
+            runner=ids.parse_runner(start),
+            cause=cause.value,
+            liveness=liveness.value,
+            contents=[
+                contentkeys.format_key(key) for key in sorted(inquiry.keys)
+            ],
+        )
+        if cause is cuts.Cause.CRASH:
+            self._on_crash(self._identify(start), inquiry.keys, now)
+        inquiry.finished.set()
+
+    def _identify(self, start: ids.RunnerStart) -> ids.Crash:
+        # Requests of one crash may be cut one after the other. A runner that
+        # registers without a birth has the same start after a crash.
+        crashed = self._crashed.setdefault(start, _Crashed())
+        if crashed.is_back:
+            crashed.number += 1
+            crashed.is_back = False
+        return ids.identify_crash(start, crashed.number)
+
+
+async def _connect(address: addresses.Address) -> cuts.Liveness:
+    try:
+        with anyio.fail_after(CONNECT_TIMEOUT_S):
+            stream = await anyio.connect_tcp(address.host, address.port)
+            await stream.aclose()
+    except TimeoutError:
+        return cuts.Liveness.SILENT
+    except OSError as error:
+        # The error of the only attempt is the cause.
+        if isinstance(error.__cause__, ConnectionRefusedError):
+            return cuts.Liveness.REFUSES
+        return cuts.Liveness.SILENT
+    return cuts.Liveness.ACCEPTS
