Split joining, draining and the result line out; handlers of messages by type

Moved without a change: joining and draining out of the gateway process, the log line of a request out of the exchange, and the mesh's chain of message types into handlers that are registered by type. Tests of forwarding, runners, sharing, foreign messages, fuzzing, planned stops and processes pass.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -34,10 +34,8 @@
 from apricotlanding import errors
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import queueing
-from apricotlandingd.gateway.hosts import allowancemessages
 from apricotlandingd.gateway.hosts import groups
 from apricotlandingd.gateway.hosts import messages
-from apricotlandingd.gateway.hosts import placemessages
 
 __all__ = ['Mesh', 'Peer', 'Scope']
 
@@ -76,6 +74,8 @@
 # Ended processes that are remembered.
 MAX_ENDED_PROCESSES = 200
 
+_Message = ty.TypeVar('_Message')
+
 
 class Scope(enum.Enum):
     """Fields that a state is to contain."""
@@ -173,27 +173,27 @@
         self.on_dropped: collections.abc.Callable[
             [messages.HostState], None
         ] = lambda state: None
-        self.on_place_request: collections.abc.Callable[
-            [placemessages.PlaceRequest, float], None
-        ] = lambda request, now: None
-        self.on_place_reply: collections.abc.Callable[
-            [placemessages.PlaceReply, float], None
-        ] = lambda reply, now: None
-        self.on_allowance_request: collections.abc.Callable[
-            [allowancemessages.AllowanceRequest, float], None
-        ] = lambda request, now: None
-        self.on_allowance_reply: collections.abc.Callable[
-            [allowancemessages.AllowanceReply, float], None
-        ] = lambda reply, now: None
-        self.on_usage_update: collections.abc.Callable[
-            [allowancemessages.UsageUpdate, float], None
-        ] = lambda usage_update, now: None
+        # Handlers of the other messages, by type.
+        self._handlers: dict[
+            type[object], collections.abc.Callable[[ty.Any, float], None]
+        ] = {
+            messages.HostState: self.handle_state,
+            messages.HostChange: self.handle_change,
+        }
         # Called with the sender's IP address, the reason and the time for each
         # message that cannot be decoded.
         self.on_unreadable: collections.abc.Callable[
             [str, str, float], None
         ] = lambda sender, detail, now: None
 
+    def subscribe(
+        self,
+        message_type: type[_Message],
+        handler: collections.abc.Callable[[_Message, float], None],
+    ) -> None:
+        """Have messages of a type handled, with the time of arrival."""
+        self._handlers[message_type] = handler
+
     # State of the other hosts.
 
     def count_hosts(self) -> int:
@@ -507,32 +507,15 @@
                 continue
             now = clocks.read_monotonic()
             try:
-                state = messages.registry.decode(data)
+                message = messages.registry.decode(data)
             except errors.Refused as error:
                 self.on_unreadable(sender[0], str(error), now)
                 continue
-            if isinstance(state, messages.HostChange):
-                self.handle_change(state, now)
-                continue
-            if isinstance(state, placemessages.PlaceRequest):
-                self.on_place_request(state, now)
-                continue
-            if isinstance(state, placemessages.PlaceReply):
-                self.on_place_reply(state, now)
-                continue
-            if isinstance(state, allowancemessages.AllowanceRequest):
-                self.on_allowance_request(state, now)
-                continue
-            if isinstance(state, allowancemessages.AllowanceReply):
-                self.on_allowance_reply(state, now)
-                continue
-            if isinstance(state, allowancemessages.UsageUpdate):
-                self.on_usage_update(state, now)
-                continue
-            if not isinstance(state, messages.HostState):
-                self.on_unreadable(sender[0], 'no state of a host', now)
+            handler = self._handlers.get(type(message))
+            if handler is None:
+                self.on_unreadable(sender[0], 'no message to a host', now)
                 continue
-            self.handle_state(state, now)
+            handler(message, now)
 
     async def _send_to_near(self) -> None:
         while True:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -43,15 +43,19 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.hosts import allowancemessages
 from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import coordinator
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.hosts import placemessages
 from apricotlandingd.gateway.hosts import sharedallowances
+from apricotlandingd.gateway.process import draining
 from apricotlandingd.gateway.process import hoststates
 from apricotlandingd.gateway.process import inputerrors
+from apricotlandingd.gateway.process import joining
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import stalls
 from apricotlandingd.gateway.process import telemetry
@@ -88,8 +92,6 @@
 READING_GROUPS = 4
 # Interval between checks of the settings file for changes.
 SETTINGS_INTERVAL_S = 1.0
-# Interval between attempts to publish this host and to read the others.
-JOIN_RETRY_INTERVAL_S = 1.0
 
 
 @ty.final
@@ -241,15 +243,21 @@
             lambda: self._is_stopping,
             now,
         )
-        self._mesh.on_allowance_request = (
-            self._shared_allowances.handle_request
+        subscribe = self._mesh.subscribe
+        subscribe(
+            allowancemessages.AllowanceRequest,
+            self._shared_allowances.handle_request,
         )
-        self._mesh.on_usage_update = (
-            self._shared_allowances.handle_usage_update
+        subscribe(
+            allowancemessages.UsageUpdate,
+            self._shared_allowances.handle_usage_update,
         )
-        self._mesh.on_allowance_reply = self._shared_allowances.handle_reply
-        self._mesh.on_place_request = self._dispatcher.handle_request
-        self._mesh.on_place_reply = self._dispatcher.handle_reply
+        subscribe(
+            allowancemessages.AllowanceReply,
+            self._shared_allowances.handle_reply,
+        )
+        subscribe(placemessages.PlaceRequest, self._dispatcher.handle_request)
+        subscribe(placemessages.PlaceReply, self._dispatcher.handle_reply)
         states = hoststates.HostStateBuilder(
             config,
             self.incarnation,
@@ -319,7 +327,16 @@
             tree.start('mesh', self._mesh.run)
             tree.start('records', lambda: peers.serve(self._exchange.serve))
             tree.start('catch-up', self._catch_up.run)
-            tree.start('join', self._join)
+            tree.start(
+                'join',
+                lambda: joining.join_hosts(
+                    self._settings,
+                    self._store,
+                    self._mesh,
+                    self._allowances,
+                    self._input_errors,
+                ),
+            )
             tree.start('pump', self._pump_forever)
             tree.start('tidy', self._clean_up_forever)
             tree.start('restarts', self._clients.run)
@@ -516,34 +533,6 @@
             item.fetch_timeout_s for item in self._freshness.timing.values()
         )
 
-    async def _join(self) -> None:
-        config = self._settings
-        while True:
-            try:
-                await self._store.write_host(config.host, config.state)
-                break
-            except dialect.StoreUnavailable as error:
-                eliot.log_message('gateway:join_failed', detail=str(error))
-            await anyio.sleep(JOIN_RETRY_INTERVAL_S)
-        while True:
-            try:
-                hosts = await self._store.read_hosts()
-                break
-            except dialect.StoreUnavailable as error:
-                eliot.log_message('gateway:join_failed', detail=str(error))
-            await anyio.sleep(JOIN_RETRY_INTERVAL_S)
-        for host, address in hosts.items():
-            if isinstance(address, dialect.Unreadable):
-                self._input_errors.report(
-                    inputerrors.Source.HOST_RECORD,
-                    host,
-                    str(address),
-                    clocks.read_monotonic(),
-                )
-                continue
-            self._mesh.probe_address(address)
-        self._allowances.mark_hosts_listed()
-
     # States of hosts.
 
     def _announce_change(self) -> None:
@@ -682,24 +671,7 @@
         plan = shutdown.make_plan(grace_s, clocks.read_monotonic())
         self._is_stopping = True
         self._mesh.request_update()
-        self._log_stop('gateway:stopping')
-        await anyio.sleep(plan.close_at - clocks.read_monotonic())
-        self._log_stop('gateway:listener_closing')
-        left_s = plan.abort_at - clocks.read_monotonic()
-        if not await shutdown.close_listener(self._server, left_s):
-            self._log_stop('gateway:grace_over')
-            self._listener.end_requests()
-            left_s = plan.exit_at - clocks.read_monotonic()
-            await shutdown.close_listener(self._server, left_s)
-        self._log_stop('gateway:drained')
-
-    def _log_stop(self, kind: str) -> None:
-        eliot.log_message(
-            kind,
-            open=self._listener.open_requests,
-            connections=self._server.count_connections(),
-            unsent_bytes=self._server.count_unsent_bytes(),
-        )
+        await draining.drain(self._server, self._listener, plan)
 
 
 def _make_topic_bounds(bounds: settings.Bounds) -> dict[dialect.Topic, float]:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -36,6 +36,7 @@
 from apricotlandingd.gateway.requests import inactivity
 from apricotlandingd.gateway.requests import queueentries
 from apricotlandingd.gateway.requests import replies
+from apricotlandingd.gateway.requests import resultlog
 from apricotlandingd.gateway.requests import runnerclient
 from apricotlandingd.gateway.requests import sharedstate
 from apricotlandingd.gateway.requests import streams
@@ -613,37 +614,21 @@
         await self._reply.write_problem(self._admission.head.attempt, problem)
 
     def _log_result(self, now: float) -> None:
-        head = self._admission.head
-        took = now - self._admission.arrived_at
-        first = None
-        if self._first_at is not None:
-            first = round(self._first_at - self._admission.arrived_at, 4)
         runner = None
         if self._runner is not None:
             runner = ids.parse_runner(self._runner)
-        kind = self._reply.outcome.partition(' ')[0]
-        self._shared.telemetry.count('requests_total', outcome=kind)
-        self._shared.telemetry.time('request_seconds', took, outcome=kind)
-        if first is not None:
-            self._shared.telemetry.time('first_event_seconds', first)
-        eliot.log_message(
-            'gateway:request',
-            attempt=head.attempt,
-            target=self._admission.target,
-            organisation=None
-            if self._admission.organisation is None
-            else self._admission.organisation.name,
-            runner=runner,
-            sends=self._sends,
-            version=self._admission.version,
-            service=self._admission.service,
-            tokens=[head.prompt_tokens, head.expected_tokens],
-            given_s=head.deadline_s,
-            waited_s=round(self._waited_s, 4),
-            outcome=self._reply.outcome,
-            detail=self._detail,
-            first_s=first,
-            took_s=round(took, 4),
+        resultlog.log_result(
+            self._shared.telemetry,
+            self._admission,
+            resultlog.Result(
+                runner=runner,
+                sends=self._sends,
+                waited_s=self._waited_s,
+                first_at=self._first_at,
+                outcome=self._reply.outcome,
+                detail=self._detail,
+            ),
+            now,
         )
 
 
