Put requests that crash runners in quarantine on all hosts

Cause: each attempt was judged alone. Nothing linked two attempts with the same content, on one host or between hosts, and no count of crashes outlived the attempt. The class: a harm that belongs to the work was counted against the place where it showed (runner health, retries of one attempt), so every new attempt started from zero.

Ruled out: crashes that only coincide with the request.

Change: when a runner crashes (cuts.find_cause), all requests that it was running are blamed, by content key. Rows (content, crash) go to all hosts at once and twice more; once a second each host tells two others what it knows, and a near host that starts or is heard again is told at once. The third crash puts a content in quarantine on every host; a request there is refused with 503 APL613 (not run, Retry-After when it ends), also when it waits for a place or is about to be sent again. A complete answer of a runner clears a content of all its crashes. Contents that share the crashes of another one are contested: two hosts, chosen by rendezvous order, may send one copy each, and its end decides. A host that knows of no crash computes nothing for a request and sends nothing.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -389,6 +389,14 @@
         'the headers cannot be passed on: {detail}',
         'send a head that a server of HTTP/1.1 must accept',
     )
+    IN_QUARANTINE = Template(
+        'APL613',
+        503,
+        Outcome.NOT_RUN,
+        'requests with this content crashed {crashes} runners',
+        'send another request; this one is not sent to runners until '
+        'Retry-After',
+    )
     NO_HOSTS = Template(
         'APL612',
         503,
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/crashreports.py
@@ -0,0 +1,237 @@
+"""Shares the blame for crashes with the other hosts.
+
+New rows go to all hosts at once, and again shortly after, because datagrams
+may be lost. A crash is rare and concerns few hosts, so this costs little. For
+hosts that were cut off or have just started, each host also sends what it
+knows to a few others, chosen at random, once a second.
+"""
+
+import collections.abc
+import dataclasses
+import random
+import typing as ty
+
+import eliot
+
+from apricotlanding import addresses
+from apricotlanding import contentkeys
+from apricotlanding import ids
+from apricotlanding import quarantine
+from apricotlandingd.gateway.hosts import crashmessages
+
+__all__ = ['CrashReports', 'Peers', 'describe_verdict']
+
+# Seconds after which new rows are sent to all hosts again.
+REPEAT_DELAYS_S = (0.25, 1.0)
+# Seconds between messages to hosts chosen at random, and their number.
+GOSSIP_INTERVAL_S = 1.0
+GOSSIP_HOSTS = 2
+# Hosts that may run one trial each of a contested request.
+TRIAL_HOSTS = 2
+
+
+class Peers(ty.Protocol):
+    """The other hosts."""
+
+    def list_addresses(self) -> list[addresses.Address]:
+        """Return where the other hosts take messages."""
+
+    def send(self, message: object, address: addresses.Address) -> None:
+        """Send a datagram, which may be lost."""
+
+
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Repeat:
+    at: float
+    blames: list[quarantine.Blame]
+
+
+@ty.final
+class CrashReports:
+    """This host's quarantine, and its exchange with other hosts."""
+
+    def __init__(
+        self,
+        shared: quarantine.Quarantine,
+        peers: Peers,
+        list_trial_hosts: collections.abc.Callable[[str, int], list[ids.Host]],
+        host: ids.Host,
+        rng: random.Random,
+    ) -> None:
+        """Share a quarantine.
+
+        ``list_trial_hosts`` returns a number of hosts for a name, the same on
+        all hosts.
+        """
+        self._quarantine = shared
+        self._peers = peers
+        self._list_trial_hosts = list_trial_hosts
+        self._host = host
+        self._rng = rng
+        self._trials = quarantine.Trials()
+        self._repeats: list[_Repeat] = []
+        self._gossip_at = 0.0
+
+    def is_empty(self) -> bool:
+        """Tell whether no request is blamed."""
+        return self._quarantine.is_empty()
+
+    def count_blamed(self) -> int:
+        """Return the number of requests that are blamed."""
+        return self._quarantine.count_contents()
+
+    def count_quarantined(self) -> int:
+        """Return the number of requests in quarantine."""
+        return len(self._quarantine.list_quarantined())
+
+    def record_crash(
+        self, crash: ids.Crash, keys: set[ids.ContentKey], now: float
+    ) -> None:
+        """Blame the requests in progress for a crash."""
+        before = set(self._quarantine.list_quarantined())
+        self._publish(self._quarantine.record_crash(crash, keys, now), now)
+        self._log_changes(before, now)
+
+    def record_completion(self, key: ids.ContentKey, now: float) -> None:
+        """Clear a request that a runner completed."""
+        before = set(self._quarantine.list_quarantined())
+        self._publish(self._quarantine.record_completion(key, now), now)
+        self._log_changes(before, now)
+
+    def find_verdict(
+        self, key: ids.ContentKey, now: float
+    ) -> quarantine.Verdict | None:
+        """Return why a request may not be sent; None if it may be sent."""
+        verdict = self._quarantine.find(key, now)
+        if verdict is None or self._has_trial(key, verdict):
+            return None
+        return verdict
+
+    def take_send(
+        self, key: ids.ContentKey, now: float
+    ) -> quarantine.Verdict | None:
+        """Return as ``find_verdict``; use up the trial of one that is sent."""
+        verdict = self._quarantine.find(key, now)
+        if verdict is None:
+            return None
+        if not self._has_trial(key, verdict):
+            return verdict
+        self._trials.take(key)
+        eliot.log_message(
+            'gateway:quarantine_trial', content=contentkeys.format_key(key)
+        )
+        return None
+
+    def handle_report(
+        self, report: crashmessages.CrashReport, now: float
+    ) -> None:
+        """Apply another host's rows."""
+        before = set(self._quarantine.list_quarantined())
+        self._quarantine.merge(
+            (
+                quarantine.Blame(
+                    ids.ContentKey(row.key),
+                    ids.Crash(row.crash),
+                    row.host,
+                    row.is_cleared,
+                    row.age_s,
+                )
+                for row in report.rows
+            ),
+            now,
+        )
+        self._log_changes(before, now)
+
+    def tick(self, now: float) -> None:
+        """Send the messages that are due."""
+        due = [item for item in self._repeats if item.at <= now]
+        if due:
+            self._repeats = [item for item in self._repeats if item.at > now]
+            for item in due:
+                self._send_to_all(item.blames)
+        if now < self._gossip_at:
+            return
+        self._gossip_at = now + GOSSIP_INTERVAL_S
+        if self._quarantine.is_empty():
+            return
+        self._quarantine.expire(now)
+        self._trials.retain_only(self._quarantine.list_quarantined())
+        targets = self._peers.list_addresses()
+        for address in self._rng.sample(
+            targets, min(GOSSIP_HOSTS, len(targets))
+        ):
+            self.greet(address, now)
+
+    def greet(self, address: addresses.Address, now: float) -> None:
+        """Send what is known to one host."""
+        rows = self._quarantine.list_rows(
+            crashmessages.MAX_ROWS, self._rng, now
+        )
+        if rows:
+            self._peers.send(_make_report(rows), address)
+
+    def _publish(self, blames: list[quarantine.Blame], now: float) -> None:
+        if not blames:
+            return
+        self._send_to_all(blames)
+        for delay_s in REPEAT_DELAYS_S:
+            self._repeats.append(_Repeat(now + delay_s, blames))
+
+    def _send_to_all(self, blames: list[quarantine.Blame]) -> None:
+        targets = self._peers.list_addresses()
+        for first in range(0, len(blames), crashmessages.MAX_ROWS):
+            report = _make_report(
+                blames[first : first + crashmessages.MAX_ROWS]
+            )
+            for address in targets:
+                self._peers.send(report, address)
+
+    def _log_changes(self, before: set[ids.ContentKey], now: float) -> None:
+        after = set(self._quarantine.list_quarantined())
+        for key in sorted(after - before):
+            verdict = self._quarantine.find(key, now)
+            if verdict is not None:
+                eliot.log_message(
+                    'gateway:quarantined',
+                    content=contentkeys.format_key(key),
+                    **describe_verdict(verdict),
+                )
+        for key in sorted(before - after):
+            eliot.log_message(
+                'gateway:quarantine_ended',
+                content=contentkeys.format_key(key),
+            )
+
+    def _has_trial(
+        self, key: ids.ContentKey, verdict: quarantine.Verdict
+    ) -> bool:
+        if not verdict.is_contested or not self._trials.is_available(key):
+            return False
+        name = f'content/{contentkeys.format_key(key)}'
+        return self._host in self._list_trial_hosts(name, TRIAL_HOSTS)
+
+
+def describe_verdict(verdict: quarantine.Verdict) -> dict[str, ty.Any]:
+    """Return the log fields of a verdict."""
+    return {
+        'crashes': len(verdict.blames),
+        'reported': [
+            {
+                'crash': f'{blame.crash:016x}',
+                'by': blame.host,
+                'age_s': blame.age_s,
+            }
+            for blame in verdict.blames
+        ],
+        'is_contested': verdict.is_contested,
+        'left_s': round(verdict.left_s),
+    }
+
+
+def _make_report(
+    blames: list[quarantine.Blame],
+) -> crashmessages.CrashReport:
+    return crashmessages.CrashReport(
+        [crashmessages.BlameRow(*blame) for blame in blames]
+    )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -173,7 +173,12 @@
         self.on_dropped: collections.abc.Callable[
             [messages.HostState], None
         ] = lambda state: None
-        # Handlers of the other messages, by type.
+        # Called with the address of a near host when its process is heard for
+        # the first time, or again after a silence.
+        self.on_new_process: collections.abc.Callable[
+            [addresses.Address, float], None
+        ] = lambda address, now: None
+        # Handlers of messages, by type.
         self._handlers: dict[
             type[object], collections.abc.Callable[[ty.Any, float], None]
         ] = {
@@ -281,6 +286,10 @@
         peer = self.peers.get(host)
         return None if peer is None else peer.address
 
+    def list_addresses(self) -> list[addresses.Address]:
+        """Return the addresses at which the other hosts take messages."""
+        return [peer.address for peer in self.peers.values()]
+
     def send(self, message: object, address: addresses.Address) -> None:
         """Send a datagram, which may be lost."""
         self._send(messages.registry.encode(message), address)
@@ -382,6 +391,8 @@
             self._recount_peers()
         elif peer.is_near:
             self._replace_running(known.running, peer.running)
+        if peer.is_near and (not is_same or known is None or known.is_silent):
+            self.on_new_process(peer.address, now)
 
     def drop_silent(self, now: float) -> None:
         """Mark silent peers, and drop those that stay silent."""
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -37,6 +37,7 @@
 from apricotlanding import asgi
 from apricotlanding import clocks
 from apricotlanding import ids
+from apricotlanding import quarantine
 from apricotlanding import retrybudget
 from apricotlanding import shutdown
 from apricotlanding import supervisor
@@ -47,6 +48,8 @@
 from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import coordinator
+from apricotlandingd.gateway.hosts import crashmessages
+from apricotlandingd.gateway.hosts import crashreports
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
@@ -65,6 +68,7 @@
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import storereader
 from apricotlandingd.gateway.replication import timing
+from apricotlandingd.gateway.requests import crashguard
 from apricotlandingd.gateway.requests import listener
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclients
@@ -139,7 +143,7 @@
         self._replica.add_observer(self._handle_record)
         self._replica.on_corrupt_record = self._report_corrupt_record
         self._freshness = freshness.Freshness(
-            self._replica, _make_topic_bounds(config.bounds)
+            self._replica, settings.find_topic_bounds(config.bounds)
         )
         probe_lock = anyio.Lock()
         self._readers = [
@@ -190,11 +194,6 @@
         self._stalls = stalls.StallDetector()
         self._latencies = latency.LatencyEstimates()
         self._health = health.Health()
-        self._crash_detector = crashes.CrashDetector(
-            self._directory,
-            lambda now: self._freshness.is_current(dialect.RUNNERS, now),
-            self._handle_crash,
-        )
         self._allowances = allowances.Allowances(
             bounds.quota_slack, self._mesh, now
         )
@@ -258,6 +257,21 @@
         )
         subscribe(placemessages.PlaceRequest, self._dispatcher.handle_request)
         subscribe(placemessages.PlaceReply, self._dispatcher.handle_reply)
+        self._crash_reports = crashreports.CrashReports(
+            quarantine.Quarantine(config.host),
+            self._mesh,
+            self._candidates.list_first,
+            config.host,
+            self._rng,
+        )
+        subscribe(crashmessages.CrashReport, self._crash_reports.handle_report)
+        self._mesh.on_new_process = self._crash_reports.greet
+        self._crash_detector = crashes.CrashDetector(
+            self._directory,
+            lambda now: self._freshness.is_current(dialect.RUNNERS, now),
+            self._crash_reports.record_crash,
+            self._telemetry,
+        )
         states = hoststates.HostStateBuilder(
             config,
             self.incarnation,
@@ -279,7 +293,6 @@
             dispatcher=self._dispatcher,
             directory=self._directory,
             latencies=self._latencies,
-            crash_detector=self._crash_detector,
             telemetry=self._telemetry,
             find_catalogue=lambda: self._catalogue,
             find_client=self._clients.find,
@@ -290,6 +303,9 @@
                 self._input_errors.report, inputerrors.Source.ANSWER
             ),
             routestats=routestats.RouteStats(),
+            crash_guard=crashguard.CrashGuard(
+                self._crash_reports, self._crash_detector, self._telemetry
+            ),
         )
         self._listener = listener.Listener(
             shared,
@@ -308,6 +324,8 @@
             'open_requests': lambda: self._listener.open_requests,
             'peers_known': lambda: len(self._mesh.peers),
             'runner_connects_total': self._clients.count_connects,
+            'quarantined_contents': self._crash_reports.count_quarantined,
+            'blamed_contents': self._crash_reports.count_blamed,
             'stalls_total': lambda: self._stalls.count,
             'stalled_seconds_total': lambda: self._stalls.seconds,
         }
@@ -585,6 +603,7 @@
             self._pump(now)
             self._dispatcher.tick(now)
             self._shared_allowances.tick(now)
+            self._crash_reports.tick(now)
 
     def _pump(self, now: float) -> None:
         self._pumped_at = now
@@ -604,11 +623,6 @@
             self._dispatcher.keep_only(known)
             await self._clients.prune(entries, now)
 
-    def _handle_crash(
-        self, crash: ids.Crash, keys: set[ids.ContentKey], now: float
-    ) -> None:
-        self._telemetry.count('runner_crashes_total')
-
     # Stopping.
 
     async def _watch_signals(self) -> None:
@@ -654,7 +668,7 @@
             )
         bounds = found.bounds
         self._directory.set_drain_time(bounds.drain_s)
-        self._freshness.set_bounds(_make_topic_bounds(bounds))
+        self._freshness.set_bounds(settings.find_topic_bounds(bounds))
         self._allowances.set_slack(bounds.quota_slack)
         self._shared_allowances.set_slack(bounds.quota_slack)
         self._retry_budget.set_bounds(
@@ -672,8 +686,3 @@
         self._is_stopping = True
         self._mesh.request_update()
         await draining.drain(self._server, self._listener, plan)
-
-
-def _make_topic_bounds(bounds: settings.Bounds) -> dict[dialect.Topic, float]:
-    # Time within which changes of each topic must take effect on this host.
-    return {dialect.CONFIG: bounds.apply_s, dialect.RUNNERS: bounds.drain_s}
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
@@ -9,8 +9,9 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlandingd.gateway import dialect
 
-__all__ = ['Bounds', 'GatewaySettings']
+__all__ = ['Bounds', 'GatewaySettings', 'find_topic_bounds']
 
 
 @ty.final
@@ -52,3 +53,8 @@
     seeds: tuple[addresses.Address, ...]
     store: addresses.Address
     bounds: Bounds
+
+
+def find_topic_bounds(bounds: Bounds) -> dict[dialect.Topic, float]:
+    """Return the seconds within which changes of each topic take effect."""
+    return {dialect.CONFIG: bounds.apply_s, dialect.RUNNERS: bounds.drain_s}
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/crashguard.py
@@ -0,0 +1,130 @@
+"""Keeps requests that crash runners away from them.
+
+``quarantine`` decides which requests these are, from what all hosts report;
+see ``hosts.crashreports``.
+"""
+
+import typing as ty
+
+import anyio
+import eliot
+
+from apricotlanding import clocks
+from apricotlanding import contentkeys
+from apricotlanding import errors
+from apricotlanding import ids
+from apricotlanding import quarantine
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.hosts import crashreports
+from apricotlandingd.gateway.process import telemetry
+from apricotlandingd.gateway.runners import crashes
+
+__all__ = ['CheckedRequest', 'CrashGuard']
+
+# Time for finding out why a runner cut a request, before it is sent again.
+CAUSE_TIMEOUT_S = 0.05
+# When a contested request may be decided by a trial.
+CONTESTED_RETRY_AFTER_S = 2.0
+
+
+class CheckedRequest(ty.Protocol):
+    """What the guard has to know of a request."""
+
+    head: dialect.RequestHead
+    deadline_at: float
+
+    @property
+    def content_key(self) -> ids.ContentKey:
+        """The key that all attempts with this content share."""
+
+
+@ty.final
+class CrashGuard:
+    """Refuses requests in quarantine, and reports what runners make of them.
+
+    While no request is blamed, nothing is computed for a request.
+    """
+
+    def __init__(
+        self,
+        reports: crashreports.CrashReports,
+        detector: crashes.CrashDetector,
+        counts: telemetry.MetricRegistry,
+    ) -> None:
+        """Use this host's quarantine and crash detector."""
+        self._reports = reports
+        self._detector = detector
+        self._telemetry = counts
+
+    def find_problem(
+        self, admitted: CheckedRequest, now: float
+    ) -> errors.Problem | None:
+        """Return the problem of a request in quarantine."""
+        if self._reports.is_empty():
+            return None
+        verdict = self._reports.find_verdict(admitted.content_key, now)
+        if verdict is None:
+            return None
+        return self._refuse(admitted, verdict)
+
+    def admit_send(
+        self, admitted: CheckedRequest, now: float
+    ) -> errors.Problem | None:
+        """Return the problem of a request that must not be sent now.
+
+        Called just before each send: a contested request that is sent uses
+        up this host's trial.
+        """
+        if self._reports.is_empty():
+            return None
+        verdict = self._reports.take_send(admitted.content_key, now)
+        if verdict is None:
+            return None
+        return self._refuse(admitted, verdict)
+
+    def note_answer(
+        self, entry: dialect.RunnerEntry, admitted: CheckedRequest
+    ) -> None:
+        """Note that a runner has answered a request completely."""
+        self._detector.note_answer(entry.start)
+        if not self._reports.is_empty():
+            self._reports.record_completion(
+                admitted.content_key, clocks.read_monotonic()
+            )
+
+    async def report_cut(
+        self,
+        entry: dialect.RunnerEntry,
+        admitted: CheckedRequest,
+        is_repeatable: bool,
+    ) -> None:
+        """Report that a runner cut a request.
+
+        If the request may be sent again, this waits for the cause.
+        """
+        if clocks.read_monotonic() >= admitted.deadline_at:
+            # The runner stopped at the deadline that was sent to it.
+            return
+        finished = self._detector.report_cut(entry, admitted.content_key)
+        if not is_repeatable:
+            return
+        with anyio.move_on_after(CAUSE_TIMEOUT_S):
+            await finished.wait()
+
+    def _refuse(
+        self, admitted: CheckedRequest, verdict: quarantine.Verdict
+    ) -> errors.Problem:
+        self._telemetry.count('quarantine_refusals_total')
+        eliot.log_message(
+            'gateway:quarantine_refused',
+            attempt=admitted.head.attempt,
+            content=contentkeys.format_key(admitted.content_key),
+            **crashreports.describe_verdict(verdict),
+        )
+        return errors.make_problem(
+            errors.Kind.IN_QUARANTINE,
+            CONTESTED_RETRY_AFTER_S
+            if verdict.is_contested
+            else verdict.left_s,
+            crashes=len(verdict.blames),
+        )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -38,6 +38,7 @@
 from apricotlandingd.gateway.requests import replies
 from apricotlandingd.gateway.requests import resultlog
 from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.requests import runnernotes
 from apricotlandingd.gateway.requests import sharedstate
 from apricotlandingd.gateway.requests import streams
 from apricotlandingd.gateway.runners import observations
@@ -51,8 +52,6 @@
 # can be asked if it breaks off; larger ones are forwarded as they arrive.
 MAX_HELD_BYTES = 256 * 1024
 MIN_FAILURE_STATUS = 500
-# Time for finding out why a runner cut a request, before it is sent again.
-CAUSE_TIMEOUT_S = 0.05
 
 
 class _SendResult(enum.Enum):
@@ -81,6 +80,7 @@
             send, shared.http_dialect, shared.is_stopping
         )
         self._admission = admission.Admission(shared, scope)
+        self._notes = runnernotes.RunnerNotes(shared, self._admission)
         # Number of runners that bytes of this request were sent to.
         self._sends = 0
         # The same, including runners that were found at another one's
@@ -173,13 +173,9 @@
 
     async def _serve(self) -> None:
         while True:
-            decision = await self._wait_for_place()
-            if isinstance(decision, queueing.Refusal):
-                await self._give_up(
-                    errors.make_problem(
-                        errors.Kind.NO_PLACE, decision.retry_after_s
-                    )
-                )
+            decision = await self._obtain_place()
+            if isinstance(decision, errors.Problem):
+                await self._give_up(decision)
                 return
             end = await self._send_once(decision)
             if end is _SendResult.DONE:
@@ -222,6 +218,25 @@
 
     # Waiting.
 
+    async def _obtain_place(self) -> queueing.Grant | errors.Problem:
+        guard = self._shared.crash_guard
+        now = clocks.read_monotonic()
+        problem = guard.find_problem(self._admission, now)
+        if problem is not None:
+            return problem
+        decision = await self._wait_for_place()
+        if isinstance(decision, queueing.Refusal):
+            return errors.make_problem(
+                errors.Kind.NO_PLACE, decision.retry_after_s
+            )
+        # It may have been put in quarantine while it waited.
+        now = clocks.read_monotonic()
+        problem = guard.admit_send(self._admission, now)
+        if problem is not None:
+            self._release(decision)
+            return problem
+        return decision
+
     async def _wait_for_place(self) -> queueing.Grant | queueing.Refusal:
         now = clocks.read_monotonic()
         queue_entry = queueentries.make_queue_entry(
@@ -268,7 +283,9 @@
             end = await self._send_to(entry, began_at)
             if end is _SendResult.DONE:
                 slot_time_s = clocks.read_monotonic() - began_at
-                self._note(entry, observations.Kind.HOLD, seconds=slot_time_s)
+                self._notes.note(
+                    entry, observations.Kind.HOLD, seconds=slot_time_s
+                )
             return end
         finally:
             self._release(grant)
@@ -318,7 +335,9 @@
                 self._shared.on_malformed_answer(runner, str(error), now)
             self._note_failure(entry, is_reached=True)
             if isinstance(error, webclient.Broken):
-                await self._report_cut(entry)
+                await self._shared.crash_guard.report_cut(
+                    entry, self._admission, self._may_abandon()
+                )
             return _SendResult.FAILED
 
     def _make_call(
@@ -342,19 +361,6 @@
             is_repeatable=self._admission.route.is_repeatable(),
         )
 
-    async def _report_cut(self, entry: dialect.RunnerEntry) -> None:
-        if clocks.read_monotonic() >= self._admission.deadline_at:
-            # The runner stopped at the deadline that was sent to it.
-            return
-        finished = self._shared.crash_detector.report_cut(
-            entry, self._admission.content_key
-        )
-        if not self._may_abandon():
-            return
-        # Whether the request is sent again depends on the cause.
-        with anyio.move_on_after(CAUSE_TIMEOUT_S):
-            await finished.wait()
-
     def _note_failure(
         self, entry: dialect.RunnerEntry, is_reached: bool
     ) -> None:
@@ -363,9 +369,9 @@
             # The runner stopped at the deadline that was sent to it.
             return
         if is_reached:
-            self._note(entry, observations.Kind.FAILURE)
+            self._notes.note(entry, observations.Kind.FAILURE)
         else:
-            self._note(entry, observations.Kind.UNREACHABLE)
+            self._notes.note(entry, observations.Kind.UNREACHABLE)
         self._shared.telemetry.count('runner_failures_total')
         eliot.log_message(
             'gateway:runner_failed',
@@ -465,10 +471,9 @@
                 # The address belongs to another runner now: this is no send,
                 # and the registration is out of date.
                 self._sends -= 1
-                self._note(entry, observations.Kind.GONE)
+                self._notes.note(entry, observations.Kind.GONE)
             await _discard_body(answer)
             return _SendResult.NOT_RUN
-        self._shared.crash_detector.note_answer(entry.start)
         if not head.is_sealed:
             raise webclient.Broken(f'status {head.status} without a mark')
         if self._reply.has_begun or self._is_event_stream(head):
@@ -493,22 +498,26 @@
             pieces.append(part)
             size += len(part)
             if size > MAX_HELD_BYTES:
-                return await self._forward_rest(head, pieces, answer)
+                return await self._forward_rest(entry, head, pieces, answer)
+        self._notes.note_completion(entry)
         now = clocks.read_monotonic()
         body = b''.join(pieces)
         if head.status >= MIN_FAILURE_STATUS:
             self._fallback = (head, body)
             self._detail = f'status {head.status}'
-            self._note(entry, observations.Kind.FAILURE)
+            self._notes.note(entry, observations.Kind.FAILURE)
             return _SendResult.FAILED
-        self._note(entry, observations.Kind.SUCCESS)
+        self._notes.note(entry, observations.Kind.SUCCESS)
         self._first_at = self._first_at or now
-        self._note(entry, observations.Kind.FIRST, seconds=now - began_at)
+        self._notes.note(
+            entry, observations.Kind.FIRST, seconds=now - began_at
+        )
         await self._reply.deliver(head, body)
         return _SendResult.DONE
 
     async def _forward_rest(
         self,
+        entry: dialect.RunnerEntry,
         head: dialect.AnswerHead,
         pieces: list[bytes],
         answer: runnerclient.Answer,
@@ -517,6 +526,7 @@
         await self._reply.forward_part(b''.join(pieces))
         async for part in answer.iterate():
             await self._reply.forward_part(part)
+        self._notes.note_completion(entry)
         await self._reply.finish(head)
         return _SendResult.DONE
 
@@ -545,7 +555,8 @@
             now = clocks.read_monotonic()
             if first_at is None:
                 first_at = now
-                self._note_first(entry, now, now - began_at)
+                self._first_at = self._first_at or now
+                self._notes.note_first(entry, now - began_at)
             if self._may_abandon():
                 gap_s = self._admission.route.gap_objective_s
                 timeout.extend(inactivity.find_gap_timeout(gap_s))
@@ -557,51 +568,9 @@
         if not self._reply.has_begun:
             await self._reply.begin(head)
         await self._reply.finish(head)
-        self._note_end(entry, reader.count - before, first_at)
+        self._notes.note_end(entry, reader.count - before, first_at)
         return _SendResult.DONE
 
-    def _note_first(
-        self, entry: dialect.RunnerEntry, now: float, seconds: float
-    ) -> None:
-        if self._first_at is None:
-            self._first_at = now
-        prefix = self._admission.head.prefix
-        self._note(
-            entry,
-            observations.Kind.FIRST,
-            self._admission.head.prompt_tokens,
-            seconds,
-            prefix[-1][0] if prefix else '',
-        )
-
-    def _note_end(
-        self,
-        entry: dialect.RunnerEntry,
-        events: int,
-        first_at: float | None,
-    ) -> None:
-        self._note(entry, observations.Kind.SUCCESS)
-        if first_at is None or events < 2:
-            return
-        rest = clocks.read_monotonic() - first_at
-        self._note(entry, observations.Kind.REST, events, rest)
-        self._shared.routestats.note_events(self._admission.route.name, events)
-
-    def _note(
-        self,
-        entry: dialect.RunnerEntry,
-        kind: observations.Kind,
-        amount: int = 0,
-        seconds: float = 0.0,
-        part: str = '',
-    ) -> None:
-        self._shared.dispatcher.note(
-            self._admission.service,
-            entry.start,
-            observations.Observation(kind, amount, seconds, part),
-            clocks.read_monotonic(),
-        )
-
     # Answers of the gateway.
 
     async def _fail(self, problem: errors.Problem) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -15,9 +15,9 @@
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import sharedallowances
 from apricotlandingd.gateway.process import telemetry
+from apricotlandingd.gateway.requests import crashguard
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclient
-from apricotlandingd.gateway.runners import crashes
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import latency
 
@@ -36,7 +36,6 @@
     dispatcher: dispatch.Dispatcher
     directory: directory.Directory
     latencies: latency.LatencyEstimates
-    crash_detector: crashes.CrashDetector
     telemetry: telemetry.MetricRegistry
     find_catalogue: collections.abc.Callable[[], catalogue.Catalogue | None]
     find_client: collections.abc.Callable[
@@ -50,3 +49,4 @@
         [ids.Runner, str, float], None
     ]
     routestats: routestats.RouteStats
+    crash_guard: crashguard.CrashGuard
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
@@ -18,6 +18,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import cuts
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.runners import directory
 
 __all__ = ['CrashDetector']
@@ -61,6 +62,7 @@
         on_crash: collections.abc.Callable[
             [ids.Crash, set[ids.ContentKey], float], None
         ],
+        counts: telemetry.MetricRegistry,
     ) -> None:
         """Start without cut requests.
 
@@ -71,6 +73,7 @@
         self._runners = runners
         self._is_current = is_current
         self._on_crash = on_crash
+        self._telemetry = counts
         self._inquiries: dict[ids.RunnerStart, _Inquiry] = {}
         self._crashed: dict[ids.RunnerStart, _Crashed] = {}
         self._new: list[_Inquiry] = []
@@ -133,6 +136,7 @@
             ],
         )
         if cause is cuts.Cause.CRASH:
+            self._telemetry.count('runner_crashes_total')
             self._on_crash(self._identify(start), inquiry.keys, now)
         inquiry.finished.set()
 
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -19,11 +19,14 @@
 from apricotlanding import addresses
 from apricotlanding import errors
 from apricotlanding import ids
+from apricotlanding import quarantine
 from apricotlanding import webclient
 from apricotlandingd.gateway.decisions import groupusage
 from apricotlandingd.gateway.decisions import quotas
 from apricotlandingd.gateway.hosts import allowancemessages
 from apricotlandingd.gateway.hosts import coordinator
+from apricotlandingd.gateway.hosts import crashmessages
+from apricotlandingd.gateway.hosts import crashreports
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.hosts import placemessages
@@ -406,6 +409,55 @@
         messages.registry.encode(passed)
 
 
+GOOD_REPORT = crashmessages.CrashReport(
+    [
+        crashmessages.BlameRow(1, 2, ids.Host('a'), False, 3),
+        crashmessages.BlameRow(1, 3, ids.Host('b'), True, 0),
+    ]
+)
+
+
+class NoPeers:
+    """A host that knows no other."""
+
+    def list_addresses(self) -> list[addresses.Address]:
+        return []
+
+    def send(self, message: object, address: addresses.Address) -> None:
+        raise AssertionError('there is nobody')
+
+
+class TestCrashReports(FuzzTestCase):
+    """Reports of crashes."""
+
+    @fuzzing.configure_examples()
+    @hypothesis.given(generate_corrupted(GOOD_REPORT))
+    def test_reports(self, data: bytes) -> None:
+        message = self.decode(data)
+        if not isinstance(message, crashmessages.CrashReport):
+            return
+        known = quarantine.Quarantine(ids.Host('a'))
+        reports = crashreports.CrashReports(
+            known,
+            NoPeers(),
+            lambda name, count: [],
+            ids.Host('a'),
+            random.Random(1),
+        )
+        reports.handle_report(message, 1.0)
+        for key in known.list_quarantined():
+            verdict = reports.find_verdict(key, 1.0)
+            if verdict is not None:
+                self.assertTrue(verdict.left_s > 0)
+        # They can be forwarded.
+        rows = known.list_rows(crashmessages.MAX_ROWS, random.Random(1), 1.0)
+        messages.registry.encode(
+            crashmessages.CrashReport(
+                [crashmessages.BlameRow(*row) for row in rows]
+            )
+        )
+
+
 GOOD_ANSWER = (
     b'HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: 1.2.3\r\n'
     b'Transfer-Encoding: chunked\r\nKeep-Alive: timeout=5\r\n\r\n'
