--- a/packages/apricotstandins/src/apricotstandins/engine.py
+++ b/packages/apricotstandins/src/apricotstandins/engine.py
@@ -22,6 +22,7 @@
 import collections
 import dataclasses
 import json
+import os
 import typing as ty
 import urllib.parse
 
@@ -32,9 +33,11 @@
 from apricotlanding import asgi
 from apricotlanding import clocks
 
-__all__ = ['Engine', 'Speed', 'hash_blocks']
+__all__ = ['CRASH_WORD', 'Engine', 'Speed', 'hash_blocks']
 
 BLOCK_WORDS = 16
+# A prompt with this word ends the engine's process.
+CRASH_WORD = 'crash-the-engine'
 
 
 @ty.final
@@ -306,6 +309,9 @@
             )
             return
         words = str(value['prompt']).split()
+        if CRASH_WORD in words:
+            # Without any cleanup, as a crash ends a process.
+            os._exit(1)
         sequence = Sequence(
             request=value['request'],
             key=value.get('key', ''),
