--- a/packages/apricotlanding/src/apricotlanding/crashreports.py
+++ b/packages/apricotlanding/src/apricotlanding/crashreports.py
@@ -75,6 +75,8 @@
         self._host = host
         self._rng = rng
         self._trials = quarantine.Trials()
+        # Requests in quarantine, according to the log.
+        self._logged: set[ids.ContentKey] = set()
         self._repeats: list[_Repeat] = []
         self._gossip_at = 0.0
 
@@ -94,15 +96,11 @@
         self, crash: ids.Crash, keys: set[ids.ContentKey], now: float
     ) -> None:
         """Blame the requests in progress for a crash."""
-        before = set(self._quarantine.list_quarantined())
         self._publish(self._quarantine.record_crash(crash, keys, now), now)
-        self._log_changes(before, now)
 
     def record_completion(self, key: ids.ContentKey, now: float) -> None:
         """Clear a request that a runner completed."""
-        before = set(self._quarantine.list_quarantined())
         self._publish(self._quarantine.record_completion(key, now), now)
-        self._log_changes(before, now)
 
     def find_verdict(
         self, key: ids.ContentKey, now: float
@@ -132,9 +130,8 @@
         self, blames: list[quarantine.Blame], now: float
     ) -> None:
         """Apply another host's rows."""
-        before = set(self._quarantine.list_quarantined())
         changed = self._quarantine.merge(blames, now)
-        self._log_changes(before, now)
+        self._log_changes({blame.key for blame in changed}, now)
         if self._forwards and changed:
             self._send_to_all(changed)
 
@@ -152,6 +149,7 @@
             return
         self._quarantine.expire(now)
         self._trials.retain_only(self._quarantine.list_quarantined())
+        self._log_changes(set(self._logged), now)
         targets = self._peers.list_hosts()
         for host in self._rng.sample(targets, min(GOSSIP_HOSTS, len(targets))):
             self.greet(host, now)
@@ -165,6 +163,7 @@
     def _publish(self, blames: list[quarantine.Blame], now: float) -> None:
         if not blames:
             return
+        self._log_changes({blame.key for blame in blames}, now)
         self._send_to_all(blames)
         for delay_s in REPEAT_DELAYS_S:
             self._repeats.append(_Repeat(now + delay_s, blames))
@@ -176,21 +175,21 @@
             for host in targets:
                 self._peers.send_blames(part, host)
 
-    def _log_changes(self, before: set[ids.ContentKey], now: float) -> None:
-        after = set(self._quarantine.list_quarantined())
-        for key in sorted(after - before):
+    def _log_changes(self, keys: set[ids.ContentKey], now: float) -> None:
+        for key in sorted(keys):
             verdict = self._quarantine.find(key, now)
-            if verdict is not None:
+            if verdict is not None and key not in self._logged:
+                self._logged.add(key)
                 eliot.log_message(
                     'quarantine:begun',
                     content=contentkeys.format_key(key),
                     **describe_verdict(verdict),
                 )
-        for key in sorted(before - after):
-            eliot.log_message(
-                'quarantine:ended',
-                content=contentkeys.format_key(key),
-            )
+            if verdict is None and key in self._logged:
+                self._logged.remove(key)
+                eliot.log_message(
+                    'quarantine:ended', content=contentkeys.format_key(key)
+                )
 
     def _has_trial(
         self, key: ids.ContentKey, verdict: quarantine.Verdict
