Read and log the limits that runners state

Cause: the field is new, no module knew it, and the log said nothing of what runners state. So a limit that hosts keep alone cannot be told from one that nobody reads.

Change: the adapter reads it as a decimal number; anything else is counted as a malformed answer and leaves the last limit in force. gateway:runner_limit says when a limit begins, changes and ends; the metric limited_runners counts runners with one. An answer without a limit ends it only if its request was sent after the limit was stated. Nothing is decided by it yet.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -81,6 +81,11 @@
     is_sealed: bool
     # Requests running and queued at the runner; None if not stated.
     load: tuple[int, int] | None
+    # Requests per second that the runner takes from all hosts together; None
+    # if it states no limit, or one that cannot be read.
+    limit: float | None
+    # It states a limit that cannot be read, so that the last one goes on.
+    is_limit_unreadable: bool
     # Seconds after which the runner closes an idle connection.
     idle_s: float | None
     # Headers that are forwarded to the caller.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -77,6 +77,7 @@
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
+from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['Gateway']
 
@@ -194,6 +195,7 @@
         self._stalls = stalls.StallDetector()
         self._latencies = latency.LatencyEstimates()
         self._health = health.Health()
+        self._limits = statedlimits.StatedLimits()
         self._allowances = allowances.Allowances(
             bounds.quota_slack, self._mesh, now
         )
@@ -308,6 +310,7 @@
                 self._input_errors.report, inputerrors.Source.ANSWER
             ),
             routestats=routestats.RouteStats(),
+            limits=self._limits,
             crash_guard=crashguard.CrashGuard(
                 self._crash_reports, self._crash_detector, self._telemetry
             ),
@@ -331,6 +334,7 @@
             'runner_connects_total': self._clients.count_connects,
             'quarantined_contents': self._crash_reports.count_quarantined,
             'blamed_contents': self._crash_reports.count_blamed,
+            'limited_runners': lambda: len(self._limits.list_limited()),
             'stalls_total': lambda: self._stalls.count,
             'stalled_seconds_total': lambda: self._stalls.seconds,
         }
@@ -622,6 +626,7 @@
             entries = self._directory.list_all()
             known = {entry.start for entry in entries}
             self._health.retain_only(known)
+            self._limits.retain_only(known)
             self._crash_detector.retain_only(known)
             self._latencies.retain_only(known)
             self._scheduler.keep_only(known)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
@@ -3,6 +3,7 @@
 import typing as ty
 
 from apricotlanding import clocks
+from apricotlanding import ids
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.requests import admission
 from apricotlandingd.gateway.requests import sharedstate
@@ -38,6 +39,23 @@
             clocks.read_monotonic(),
         )
 
+    def note_limit(
+        self,
+        entry: dialect.RunnerEntry,
+        head: dialect.AnswerHead,
+        sent_at: float,
+    ) -> None:
+        """Report the limit that an answer states, or that it states none."""
+        now = clocks.read_monotonic()
+        if head.is_limit_unreadable:
+            self._shared.on_malformed_answer(
+                ids.parse_runner(entry.start),
+                'the limit is no number; the last one stays in force',
+                now,
+            )
+            return
+        self._shared.limits.note_answer(entry.start, head.limit, sent_at, now)
+
     def note_first(self, entry: dialect.RunnerEntry, seconds: float) -> None:
         """Report the seconds to a stream's first event."""
         head = self._admission.head
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -20,6 +20,7 @@
 from apricotlandingd.gateway.requests import runnerclient
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import latency
+from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['SharedState']
 
@@ -50,3 +51,4 @@
     ]
     routestats: routestats.RouteStats
     crash_guard: crashguard.CrashGuard
+    limits: statedlimits.StatedLimits
