Keep the limits that runners state, on all hosts together

Cause: nothing read the limit. The class: a bound on all hosts together that no host's own view can keep. Ruled out: hosts that each keep the whole limit, and repeats on top (arrivals did not change when it was stated).

Change: the scheduler that grants a runner's places has a token bucket for it, so all sends count, retries included, in the order of the queue. Coordinators learn limits with the observations of hosts. In a small system hosts tell each other, and coordinators grant the places of a service while one of its runners states a limit; a host that reaches none uses an equal part.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/queueing.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/queueing.py
@@ -118,7 +118,9 @@
         self.decided.set()
 
 
-def predict_wait(ahead: float, free: int, slots: int, hold_s: float) -> float:
+def predict_wait(
+    ahead: float, free: int, slots: float, hold_s: float
+) -> float:
     """Return the expected seconds until a slot is free.
 
     ``ahead`` requests come first. Each of ``slots`` slots is held for
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -20,6 +20,7 @@
 from apricotlandingd.gateway.decisions import heldslots
 from apricotlandingd.gateway.decisions import placement
 from apricotlandingd.gateway.decisions import queueing
+from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
@@ -88,7 +89,10 @@
     """Snapshot of a service's runners for one scheduling pass."""
 
     entries: list[dialect.RunnerEntry]
-    # Free slots; negative where hosts together overcommitted a runner.
+    # Slots in use by all hosts.
+    used: dict[ids.RunnerStart, int]
+    # Slots that may be granted now; negative where hosts together
+    # overcommitted a runner.
     free: dict[ids.RunnerStart, int]
     avoided: set[ids.RunnerStart]
 
@@ -128,8 +132,12 @@
         fitness: health.Health,
         peers: Peers,
         rng: random.Random,
+        limiter: ratelimits.RateLimiter | None = None,
     ) -> None:
-        """Create without requests."""
+        """Create without requests; without ``limiter``, runners have none."""
+        self._limiter = limiter or ratelimits.RateLimiter(
+            lambda start: None, lambda: 1.0
+        )
         self._runners = runners
         self._latencies = latencies
         self._health = fitness
@@ -203,6 +211,7 @@
         """Remove the load of runners that are not in ``runners``."""
         for runner in set(self._loads) - runners:
             del self._loads[runner]
+        self._limiter.retain_only(runners)
 
     def note_cached_prefix(
         self, part: str, runner: ids.RunnerStart, now: float
@@ -263,6 +272,7 @@
         entries = self._list_usable(service, now)
         view = _RunnerView(
             entries,
+            {entry.start: self._count_used(entry, now) for entry in entries},
             {entry.start: self._count_free(entry, now) for entry in entries},
             self._health.list_avoided([entry.start for entry in entries], now),
         )
@@ -318,7 +328,9 @@
             if candidate is None:
                 continue
             left -= 1
+            view.used[candidate.runner] += 1
             view.free[candidate.runner] -= 1
+            self._limiter.take(candidate.runner, now)
             self._grant_slot(request, candidate.runner)
         if not is_yielding:
             self._yielding_since.pop(service, None)
@@ -340,7 +352,7 @@
         candidates = [
             placement.Candidate(
                 runner=entry.start,
-                used=entry.slots - view.free[entry.start],
+                used=view.used[entry.start],
                 slots=entry.slots,
                 latency=self._latencies.find(entry.service, entry.start),
                 is_avoided=entry.start in view.avoided,
@@ -366,9 +378,12 @@
         view: '_RunnerView',
         now: float,
     ) -> None:
-        total = sum(entry.slots for entry in view.entries)
         free = view.count_free_slots()
         hold = self.find_hold_time(service)
+        total = sum(
+            self._limiter.limit_slots(entry.start, entry.slots, hold)
+            for entry in view.entries
+        )
         # Requests of this host that come first. Rejected ones do not count.
         ahead_here = 0.0
         for request, ahead in queue.iterate():
@@ -392,7 +407,7 @@
                 wait_s=round(min(wait, 999.0), 4),
                 ahead=round(before, 1),
                 free=free,
-                places=total,
+                places=round(total, 1),
                 hold_s=round(hold, 4),
                 silent_share=round(self._peers.find_silent_share(), 3),
             )
@@ -401,12 +416,17 @@
             )
 
     def _count_free(self, entry: dialect.RunnerEntry, now: float) -> int:
+        free = entry.slots - self._count_used(entry, now)
+        allowed = self._limiter.count_allowed(entry.start, now)
+        return free if allowed is None else min(free, allowed)
+
+    def _count_used(self, entry: dialect.RunnerEntry, now: float) -> int:
         own = self.held_slots.running[entry.start]
         others = self._peers.count_running(entry.start)
         silent = self._peers.find_silent_share()
         if silent > 0:
             others = max(others, self._estimate_silent(entry, silent, now))
-        return entry.slots - own - others
+        return own + others
 
     def _estimate_silent(
         self, entry: dialect.RunnerEntry, silent: float, now: float
@@ -428,7 +448,7 @@
 
 
 def _is_too_late(
-    request: queueing.QueuedRequest, wait_s: float, slots: int, now: float
+    request: queueing.QueuedRequest, wait_s: float, slots: float, now: float
 ) -> bool:
     if slots == 0:
         return now - request.arrived_at > NO_RUNNER_TIMEOUT_S
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
@@ -14,7 +14,9 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import heldslots
 from apricotlandingd.gateway.decisions import queueing
+from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.decisions import subsets
 from apricotlandingd.gateway import dialect
@@ -25,6 +27,7 @@
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import observations
 from apricotlandingd.gateway.runners import startindex
+from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['AddressedReply', 'Coordinator']
 
@@ -45,13 +48,24 @@
 
 @ty.final
 class _SubsetView:
-    """The peers as the scheduler of a subset sees them: there are none."""
+    """The peers as the scheduler of a subset sees them.
 
-    def __init__(self, subset: subsets.Subset) -> None:
+    They ask for their places here, but for requests that they had before they
+    knew that the runners are coordinated.
+    """
+
+    def __init__(
+        self,
+        subset: subsets.Subset,
+        count_running: collections.abc.Callable[[ids.RunnerStart], int],
+    ) -> None:
         self.partition = _SubsetRunners(subset)
+        self.held_slots = heldslots.HeldSlots()
+        self._count_running = count_running
 
     def count_running(self, runner: ids.RunnerStart) -> int:
-        return 0
+        granted = self.held_slots.running[runner]
+        return max(0, self._count_running(runner) - granted)
 
     def list_waiting(self, service: ids.Pool) -> list[queueing.Rank]:
         return []
@@ -127,14 +141,21 @@
         is_stopping: collections.abc.Callable[[], bool],
         knows_runners: collections.abc.Callable[[], bool],
         find_hold_time: collections.abc.Callable[[ids.Pool], float],
+        limits: statedlimits.StatedLimits | None = None,
+        count_running: collections.abc.Callable[[ids.RunnerStart], int] = (
+            lambda start: 0
+        ),
     ) -> None:
         """Start without subsets.
 
         While ``knows_runners`` returns False, requests get no reply.
         ``find_hold_time`` returns the seconds for which this host's own
         requests hold a place of a service, as the first estimate for a new
-        subset.
+        subset. ``count_running`` returns the requests at a runner that hosts
+        report, those granted here included; 0 if hosts do not report them.
         """
+        self._limits = limits or statedlimits.StatedLimits()
+        self._count_running = count_running
         self._host = host
         self._runners = runners
         self._starts = startindex.StartIndex(runners)
@@ -198,15 +219,20 @@
     def _get_schedule(self, subset: subsets.Subset) -> _Schedule:
         found = self._schedules.get(subset)
         if found is None:
+            view = _SubsetView(subset, self._count_running)
             found = _Schedule(
                 scheduler.Scheduler(
                     self._runners,
                     self._latencies,
                     self._health,
-                    _SubsetView(subset),
+                    view,
                     self._rng,
+                    ratelimits.RateLimiter(
+                        self._limits.find_rate, lambda: 1.0
+                    ),
                 )
             )
+            view.held_slots = found.decisions.held_slots
             held_s = self._find_hold(subset.service)
             found.decisions.set_hold_time(subset.service, held_s)
             self._schedules[subset] = found
@@ -379,6 +405,15 @@
             return
         if item.kind is observations.Kind.FIRST:
             schedule.decisions.note_cached_prefix(item.part, start, now)
+        if item.kind in (
+            observations.Kind.LIMIT,
+            observations.Kind.LIMIT_ENDED,
+        ):
+            rate = None
+            if item.kind is observations.Kind.LIMIT:
+                rate = item.amount / observations.LIMIT_AMOUNT_PER_S
+            self._limits.merge(start, statedlimits.Statement(rate, now))
+            return
         if request.host == self._host:
             # This host has applied its own observation already.
             return
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
@@ -1,9 +1,10 @@
 """Places at runners for this host's requests.
 
 Up to some twenty hosts share the state of all places, and each schedules its
-own requests (``decisions.scheduler``). In a larger system the coordinator of
-a subset of the service's runners is asked for a place
-(``decisions.subsets``), and a second one if the first has none at once.
+own requests (``decisions.scheduler``). In a larger system, and while a runner
+of the service states a limit, the coordinator of a subset of the service's
+runners is asked for a place (``decisions.subsets``), and a second one if the
+first has none at once.
 
 A coordinator may be dead, frozen, or unreachable from this host alone. One
 that does not reply is skipped for a while, and the next host in the order is
@@ -31,6 +32,7 @@
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import observations
 from apricotlandingd.gateway.runners import startindex
+from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['Dispatcher']
 
@@ -100,11 +102,13 @@
         hosts: candidates.Hosts,
         candidate_hosts: candidates.Candidates,
         rng: random.Random,
+        limits: statedlimits.StatedLimits | None = None,
     ) -> None:
         """Start without requests.
 
         ``own_coordinator`` serves the subsets that this host coordinates.
         """
+        self._limits = limits or statedlimits.StatedLimits()
         self._host = host
         self._address = str(address)
         # Identifies this process in messages.
@@ -134,7 +138,7 @@
     def enter(self, ticket: queueing.QueuedRequest, now: float) -> None:
         """Add a request that waits for a place; it may be decided at once."""
         found = self._list_subsets(ticket.service)
-        if not self._hosts.has_multiple_groups() or not found:
+        if not self._is_coordinated(ticket.service) or not found:
             self._local.enter(ticket, now)
             return
         self._place_count += 1
@@ -167,7 +171,7 @@
         self, service: ids.Pool, tried: set[ids.RunnerStart], now: float
     ) -> bool:
         """Tell whether a runner that was not tried may have a free place."""
-        if not self._hosts.has_multiple_groups():
+        if not self._is_coordinated(service):
             return self._local.has_free_slot(service, tried, now)
         if all(
             entry.start in tried for entry in self._runners.list_open(service)
@@ -197,7 +201,7 @@
             self._local.note_hold_time(service, observation.seconds)
         if observation.kind is observations.Kind.FIRST:
             self._local.note_cached_prefix(observation.part, start, now)
-        if not self._hosts.has_multiple_groups():
+        if not self._is_coordinated(service):
             return
         subset = self._find_subset(start)
         if subset is None:
@@ -501,6 +505,19 @@
 
     # Subsets and their coordinators.
 
+    def _is_coordinated(self, service: ids.Pool) -> bool:
+        # A limit holds for all hosts together, and a small system's hosts may
+        # have very different shares of the requests.
+        if self._hosts.has_multiple_groups():
+            return True
+        return any(
+            entry is not None and entry.service == service
+            for entry in (
+                self._runners.find(start)
+                for start, _ in self._limits.list_limited()
+            )
+        )
+
     def _get_link(self, subset: subsets.Subset, now: float) -> _Link:
         link = self._links.get(subset)
         if link is None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -43,6 +43,7 @@
 from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import allowancemessages
@@ -51,6 +52,7 @@
 from apricotlandingd.gateway.hosts import coordinator
 from apricotlandingd.gateway.hosts import crashmessages
 from apricotlandingd.gateway.hosts import dispatch
+from apricotlandingd.gateway.hosts import limitmessages
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.hosts import placemessages
@@ -77,6 +79,7 @@
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
+from apricotlandingd.gateway.runners import startindex
 from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['Gateway']
@@ -208,6 +211,9 @@
             self._health,
             self._mesh,
             self._rng,
+            ratelimits.RateLimiter(
+                self._limits.find_rate, lambda: 1 / self._mesh.count_hosts()
+            ),
         )
         self._candidates = candidates.Candidates(config.host, self._mesh)
         self._dispatcher = dispatch.Dispatcher(
@@ -224,6 +230,8 @@
                 lambda: self._is_stopping,
                 lambda: records.has_all_topics(self._replica.positions),
                 self._scheduler.find_hold_time,
+                self._limits,
+                self._count_running,
             ),
             self._directory,
             self._latencies,
@@ -231,6 +239,7 @@
             self._mesh,
             self._candidates,
             self._rng,
+            self._limits,
         )
         self._shared_allowances = sharedallowances.SharedAllowances(
             config.host,
@@ -272,7 +281,11 @@
                 crashmessages.read_report(report), now
             ),
         )
-        self._mesh.on_new_process = self._crash_reports.greet
+        self._limit_reports = limitmessages.LimitReports(
+            self._limits, startindex.StartIndex(self._directory), self._mesh
+        )
+        subscribe(limitmessages.LimitReport, self._limit_reports.handle_report)
+        self._mesh.on_new_process = self._greet
         self._crash_detector = crashes.CrashDetector(
             self._directory,
             lambda now: self._freshness.is_current(dialect.RUNNERS, now),
@@ -311,6 +324,7 @@
             ),
             routestats=routestats.RouteStats(),
             limits=self._limits,
+            limit_reports=self._limit_reports,
             crash_guard=crashguard.CrashGuard(
                 self._crash_reports, self._crash_detector, self._telemetry
             ),
@@ -595,8 +609,19 @@
         self._shared_allowances.forget(state.incarnation)
         self._freshness.forget(state.host)
 
+    def _greet(self, host: ids.Host, now: float) -> None:
+        self._crash_reports.greet(host, now)
+        self._limit_reports.greet(host, now)
+
     # Runners.
 
+    def _count_running(self, runner: ids.RunnerStart) -> int:
+        # Far hosts do not report what they run.
+        if self._mesh.has_multiple_groups():
+            return 0
+        own = self._scheduler.held_slots.running[runner]
+        return own + self._mesh.count_running(runner)
+
     async def _pump_forever(self) -> None:
         while True:
             due = clocks.read_monotonic() + PUMP_INTERVAL_S
@@ -613,6 +638,7 @@
             self._dispatcher.tick(now)
             self._shared_allowances.tick(now)
             self._crash_reports.tick(now)
+            self._limit_reports.tick(now)
 
     def _pump(self, now: float) -> None:
         self._pumped_at = now
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
@@ -54,7 +54,16 @@
                 now,
             )
             return
-        self._shared.limits.note_answer(entry.start, head.limit, sent_at, now)
+        is_changed = self._shared.limits.note_answer(
+            entry.start, head.limit, sent_at, now
+        )
+        if head.limit is not None:
+            rate = round(head.limit * observations.LIMIT_AMOUNT_PER_S)
+            self.note(entry, observations.Kind.LIMIT, rate)
+        elif is_changed:
+            self.note(entry, observations.Kind.LIMIT_ENDED)
+        if is_changed:
+            self._shared.limit_reports.publish(entry.start, now)
 
     def note_first(self, entry: dialect.RunnerEntry, seconds: float) -> None:
         """Report the seconds to a stream's first event."""
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -13,6 +13,7 @@
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import dispatch
+from apricotlandingd.gateway.hosts import limitmessages
 from apricotlandingd.gateway.hosts import sharedallowances
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.requests import crashguard
@@ -52,3 +53,4 @@
     routestats: routestats.RouteStats
     crash_guard: crashguard.CrashGuard
     limits: statedlimits.StatedLimits
+    limit_reports: limitmessages.LimitReports
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/observations.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/observations.py
@@ -13,7 +13,10 @@
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
 
-__all__ = ['Kind', 'Observation', 'apply']
+__all__ = ['LIMIT_AMOUNT_PER_S', 'Kind', 'Observation', 'apply']
+
+# The amount of an observed limit of one request a second.
+LIMIT_AMOUNT_PER_S = 1000
 
 
 class Kind(enum.Enum):
@@ -33,6 +36,10 @@
     GONE = 6
     # Seconds for which a request that succeeded occupied its slot.
     HOLD = 7
+    # A limit that it states; the amount is thousandths of a request a second.
+    LIMIT = 8
+    # An answer without the limit that it had stated.
+    LIMIT_ENDED = 9
 
 
 class Observation(ty.NamedTuple):
--- a/tests/placesimulation.py
+++ b/tests/placesimulation.py
@@ -10,23 +10,28 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import typing as ty
 
 from apricotlanding import addresses
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import queueing
+from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import coordinator
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import groups
+from apricotlandingd.gateway.hosts import limitmessages
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.hosts import placemessages
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import observations
+from apricotlandingd.gateway.runners import startindex
+from apricotlandingd.gateway.runners import statedlimits
 import gatewayparts
 
 __all__ = ['Load', 'Outcome', 'Simulation']
@@ -64,6 +69,12 @@
     # The first hosts get this many times the callers of the others.
     busy_hosts: int = 0
     busy_weight: float = 4.0
+    # Requests a second that these runners state, from and until these times.
+    limits: dict[int, float] = dataclasses.field(default_factory=dict)
+    limits_from_s: float = 0.0
+    limits_until_s: float = math.inf
+    # Hosts form groups, and coordinators grant all places.
+    has_groups: bool = True
 
 
 @dataclasses.dataclass
@@ -124,8 +135,13 @@
         self._host = host
         self.changes = 0
 
+    @property
+    def peers(self) -> dict[ids.Host, 'Host']:
+        hosts = self._simulation.hosts
+        return {name: hosts[name] for name in hosts if name != self._host}
+
     def has_multiple_groups(self) -> bool:
-        return True
+        return self._simulation.load.has_groups
 
     def list_coordinators(self) -> list[ids.Host]:
         return list(self._simulation.hosts)
@@ -148,6 +164,8 @@
     own: coordinator.Coordinator
     # Its scheduler when it reaches no coordinator.
     local: scheduler.Scheduler
+    limits: statedlimits.StatedLimits
+    reports: limitmessages.LimitReports
     is_up: bool = True
     # Hosts that it cannot exchange messages with.
     unreachable: set[ids.Host] = dataclasses.field(default_factory=set)
@@ -158,6 +176,10 @@
     """One runner: runs requests in order of arrival."""
 
     hold: float
+    # Requests a second that it states while limits are in force.
+    limit: float | None = None
+    # When requests reached it.
+    arrivals: list[float] = dataclasses.field(default_factory=list)
     # Accepts no connection.
     is_lost: bool = False
     running: int = 0
@@ -185,7 +207,7 @@
             self.known.update(entry)
             is_slow = number % load.slow_every == 0
             hold = load.slow_hold_s if is_slow else load.fast_hold_s
-            self.runners[entry.start] = Runner(hold)
+            self.runners[entry.start] = Runner(hold, load.limits.get(number))
         self.hosts: dict[ids.Host, Host] = {}
         for number in range(load.hosts):
             self.hosts[ids.Host(f'host-{number}')] = self.make_host(number)
@@ -203,7 +225,8 @@
         address = addresses.Address('127.0.0.1', 1000 + number)
         process = ids.Incarnation(f'{name}/1')
         latencies, fitness = latency.LatencyEstimates(), health.Health()
-        local = self.make_scheduler(latencies, fitness)
+        limits = statedlimits.StatedLimits()
+        local = self.make_scheduler(latencies, fitness, limits)
         own = coordinator.Coordinator(
             name,
             self.known,
@@ -213,6 +236,7 @@
             lambda: False,
             lambda: True,
             local.find_hold_time,
+            limits,
         )
         hosts = _KnownHosts(self, name)
         found = dispatch.Dispatcher(
@@ -227,13 +251,18 @@
             hosts,
             candidates.Candidates(name, hosts),
             self.rng,
+            limits,
+        )
+        reports = limitmessages.LimitReports(
+            limits, startindex.StartIndex(self.known), hosts
         )
-        return Host(name, address, found, own, local)
+        return Host(name, address, found, own, local, limits, reports)
 
     def make_scheduler(
         self,
         latencies: latency.LatencyEstimates | None = None,
         fitness: health.Health | None = None,
+        limits: statedlimits.StatedLimits | None = None,
     ) -> scheduler.Scheduler:
         """Return the scheduler of a host that reaches no coordinator."""
         count = max(1, round(self.load.hosts / PARTITION_HOSTS))
@@ -243,6 +272,10 @@
             fitness or health.Health(),
             _NoPeers(count),
             self.rng,
+            ratelimits.RateLimiter(
+                (limits or statedlimits.StatedLimits()).find_rate,
+                lambda: 1 / self.load.hosts,
+            ),
         )
 
     # Events.
@@ -265,6 +298,7 @@
         def tick() -> None:
             if host.is_up:
                 host.dispatcher.tick(self.now)
+                host.reports.tick(self.now)
             self.plan_tick(host, TICK_INTERVAL_S)
 
         self.add_event(after, tick)
@@ -287,6 +321,8 @@
             found = messages.registry.decode(data)
             if isinstance(found, placemessages.PlaceRequest):
                 target.dispatcher.handle_request(found, self.now)
+            elif isinstance(found, limitmessages.LimitReport):
+                target.reports.handle_report(found, self.now)
             else:
                 target.dispatcher.handle_reply(found, self.now)
 
@@ -349,6 +385,7 @@
         if runner.is_lost:
             self.retry_elsewhere(host, grant, ticket)
             return
+        runner.arrivals.append(self.now)
         if runner.running >= self.load.slots:
             self.outcome.queued += 1
             runner.queue.append((host, grant, self.now))
@@ -375,6 +412,28 @@
         host.dispatcher.enter(again, self.now)
         self.poll_decision(host, again)
 
+    def state_limit(
+        self, runner: Runner, host: Host, grant: queueing.Grant, sent_at: float
+    ) -> None:
+        """Have a runner state its limit, as its answer begins."""
+        load = self.load
+        limit = runner.limit
+        if not load.limits_from_s <= self.now < load.limits_until_s:
+            limit = None
+        is_changed = host.limits.note_answer(
+            grant.runner, limit, sent_at, self.now
+        )
+        if limit is not None:
+            amount = round(limit * observations.LIMIT_AMOUNT_PER_S)
+            seen = observations.Observation(observations.Kind.LIMIT, amount)
+        elif is_changed:
+            seen = observations.Observation(observations.Kind.LIMIT_ENDED)
+        else:
+            return
+        host.dispatcher.note(gatewayparts.POOL, grant.runner, seen, self.now)
+        if is_changed:
+            host.reports.publish(grant.runner, self.now)
+
     def run(
         self,
         runner: Runner,
@@ -383,6 +442,7 @@
         sent_at: float,
     ) -> None:
         runner.running += 1
+        self.state_limit(runner, host, grant, sent_at)
         hold = runner.hold * self.rng.uniform(0.5, 1.5)
 
         def end() -> None:
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -27,6 +27,7 @@
 from apricotlandingd.gateway.hosts import allowancemessages
 from apricotlandingd.gateway.hosts import coordinator
 from apricotlandingd.gateway.hosts import crashmessages
+from apricotlandingd.gateway.hosts import limitmessages
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.hosts import placemessages
@@ -417,6 +418,30 @@
 )
 
 
+GOOD_LIMITS = limitmessages.LimitReport(
+    [
+        limitmessages.LimitRow(1, 2.5, 30),
+        limitmessages.LimitRow(2, None, 0),
+    ]
+)
+
+
+class TestLimitReports(FuzzTestCase):
+    """Reports of limits."""
+
+    @fuzzing.configure_examples()
+    @hypothesis.given(generate_corrupted(GOOD_LIMITS))
+    def test_reports(self, data: bytes) -> None:
+        message = self.decode(data)
+        if not isinstance(message, limitmessages.LimitReport):
+            return
+        for row in message.rows:
+            if row.rate is not None:
+                self.assertTrue(0 <= row.rate <= 1e9)
+            self.assertTrue(row.age_ms >= 0)
+        messages.registry.encode(message)
+
+
 class NoPeers:
     """A host that knows no other."""
 
