--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -61,6 +61,7 @@
 from apricotlandingd.gateway.process import hoststates
 from apricotlandingd.gateway.process import inputerrors
 from apricotlandingd.gateway.process import joining
+from apricotlandingd.gateway.process import registrations
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import stalls
 from apricotlandingd.gateway.process import telemetry
@@ -190,6 +191,12 @@
         self._mesh.on_unreadable = functools.partial(
             self._input_errors.report, inputerrors.Source.DATAGRAM
         )
+        self._registrations = registrations.RegistrationHandler(
+            self._dialect,
+            self._directory,
+            self._input_errors,
+            self._end_earlier_starts,
+        )
 
     def _build_requests(self) -> None:
         config = self._settings
@@ -440,7 +447,7 @@
         if topic == dialect.CONFIG:
             self._handle_catalogue(record, now)
         else:
-            self._handle_runner(record, now)
+            self._registrations.handle_record(record, now)
         self._scheduler.schedule_all(now)
         if self._mesh.has_multiple_groups():
             # Few hosts read the store; the others depend on peers' messages.
@@ -484,56 +491,6 @@
             offset=record.offset,
         )
 
-    def _handle_runner(self, record: dialect.Record, now: float) -> None:
-        runner = ids.Runner(record.key)
-        birth: int | None = None
-        if record.value is None:
-            self._directory.remove(runner, now)
-            state = 'removed'
-        else:
-            try:
-                entry = self._dialect.decode_runner(runner, record.value)
-            except dialect.Unreadable as error:
-                self._retract(runner, str(error), now)
-                return
-            birth = ids.parse_start_time(entry.start)
-            state = 'draining' if entry.is_draining else 'open'
-            news = self._directory.update(entry)
-            if news is directory.UpdateResult.START:
-                self._end_earlier_starts(entry.start)
-            elif news is directory.UpdateResult.OUTDATED:
-                state = 'outdated'
-        self._log_runner(runner, state, birth, record.offset)
-
-    def _retract(self, runner: ids.Runner, detail: str, now: float) -> None:
-        # The newest entry counts, and it names no usable runner. With the
-        # previous entry, requests would go to a process that was replaced or
-        # has withdrawn its registration.
-        self._input_errors.report(
-            inputerrors.Source.REGISTRATION, runner, detail, now
-        )
-        if self._directory.retract(runner, now):
-            self._log_runner(runner, 'unreadable')
-
-    def _log_runner(
-        self,
-        runner: ids.Runner,
-        state: str,
-        birth: int | None = None,
-        offset: int | None = None,
-    ) -> None:
-        eliot.log_message(
-            'gateway:runner',
-            runner=runner,
-            born=birth,
-            state=state,
-            offset=offset,
-        )
-
-    def _end_earlier_starts(self, later: ids.RunnerStart) -> None:
-        for start, count in self._clients.retire_earlier(later).items():
-            self._scheduler.held_slots.hand_over(start, later, count)
-
     def _find_readers(self) -> freshness.Readers:
         # Readers are the first hosts by name that report reaching the store. A
         # host that hears of too few of them reads too.
@@ -615,6 +572,10 @@
 
     # Runners.
 
+    def _end_earlier_starts(self, later: ids.RunnerStart) -> None:
+        for start, count in self._clients.retire_earlier(later).items():
+            self._scheduler.held_slots.hand_over(start, later, count)
+
     def _count_running(self, runner: ids.RunnerStart) -> int:
         # Far hosts do not report what they run.
         if self._mesh.has_multiple_groups():
--- /dev/null
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
@@ -0,0 +1,81 @@
+"""Applies the records of runners' registrations, and logs what they change."""
+
+import collections.abc
+import typing as ty
+
+import eliot
+
+from apricotlanding import ids
+from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.process import inputerrors
+from apricotlandingd.gateway.runners import directory
+
+__all__ = ['RegistrationHandler']
+
+
+@ty.final
+class RegistrationHandler:
+    """Keeps the directory in line with the records."""
+
+    def __init__(
+        self,
+        platform_dialect: dialect.Dialect,
+        runners: directory.Directory,
+        input_errors: inputerrors.InputErrors,
+        on_start: collections.abc.Callable[[ids.RunnerStart], None],
+    ) -> None:
+        """Apply records to a directory.
+
+        ``on_start`` is called with each new start of a runner.
+        """
+        self._dialect = platform_dialect
+        self._directory = runners
+        self._input_errors = input_errors
+        self._on_start = on_start
+
+    def handle_record(self, record: dialect.Record, now: float) -> None:
+        """Apply the newest record of a runner."""
+        runner = ids.Runner(record.key)
+        birth: int | None = None
+        if record.value is None:
+            self._directory.remove(runner, now)
+            state = 'removed'
+        else:
+            try:
+                entry = self._dialect.decode_runner(runner, record.value)
+            except dialect.Unreadable as error:
+                self._retract(runner, str(error), now)
+                return
+            birth = ids.parse_start_time(entry.start)
+            state = 'draining' if entry.is_draining else 'open'
+            result = self._directory.update(entry)
+            if result is directory.UpdateResult.START:
+                self._on_start(entry.start)
+            elif result is directory.UpdateResult.OUTDATED:
+                state = 'outdated'
+        _log_runner(runner, state, birth, record.offset)
+
+    def _retract(self, runner: ids.Runner, detail: str, now: float) -> None:
+        # The newest entry counts, and it names no usable runner. With the
+        # previous entry, requests would go to a process that was replaced or
+        # has withdrawn its registration.
+        self._input_errors.report(
+            inputerrors.Source.REGISTRATION, runner, detail, now
+        )
+        if self._directory.retract(runner, now):
+            _log_runner(runner, 'unreadable')
+
+
+def _log_runner(
+    runner: ids.Runner,
+    state: str,
+    birth: int | None = None,
+    offset: int | None = None,
+) -> None:
+    eliot.log_message(
+        'gateway:runner',
+        runner=runner,
+        born=birth,
+        state=state,
+        offset=offset,
+    )
