--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/ratelimits.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/ratelimits.py
@@ -9,8 +9,9 @@
 import typing as ty
 
 from apricotlanding import ids
+from apricotlandingd.gateway.runners import statedlimits
 
-__all__ = ['RateLimiter']
+__all__ = ['Limit', 'RateLimiter']
 
 # Requests that may follow one another at once after a pause, with the whole
 # limit and with a part of it.
@@ -21,6 +22,16 @@
 MIN_RATE = 0.2
 
 
+class Limit(ty.NamedTuple):
+    """A limit, and what this scheduler may use of it."""
+
+    runner: ids.Runner
+    # Requests per second, and seconds since the runner stated it first.
+    rate: float
+    age_s: float
+    share: float
+
+
 @ty.final
 @dataclasses.dataclass(slots=True)
 class _Bucket:
@@ -34,22 +45,21 @@
 
     def __init__(
         self,
-        find_rate: collections.abc.Callable[[ids.RunnerStart], float | None],
+        limits: statedlimits.StatedLimits,
         find_share: collections.abc.Callable[[], float],
     ) -> None:
         """Start with empty buckets.
 
-        ``find_rate`` returns the requests per second that a runner takes from
-        all hosts together, None if it states no limit. ``find_share`` returns
-        the part of that which this scheduler may use.
+        ``find_share`` returns the part of each limit that this scheduler may
+        use.
         """
-        self._find_rate = find_rate
+        self._limits = limits
         self._find_share = find_share
         self._buckets: dict[ids.RunnerStart, _Bucket] = {}
 
     def count_allowed(self, start: ids.RunnerStart, now: float) -> int | None:
         """Return how many requests a runner may get now; None if any."""
-        stated = self._find_rate(start)
+        stated = self._limits.find_rate(start)
         if stated is None:
             self._buckets.pop(start, None)
             return None
@@ -57,7 +67,7 @@
 
     def take(self, start: ids.RunnerStart, now: float) -> None:
         """Count a request that is sent to a runner."""
-        stated = self._find_rate(start)
+        stated = self._limits.find_rate(start)
         if stated is not None:
             self._refill(start, stated, now).tokens -= 1
 
@@ -65,11 +75,27 @@
         self, start: ids.RunnerStart, slots: int, hold_s: float
     ) -> float:
         """Return how many slots a runner's limit keeps busy on average."""
-        stated = self._find_rate(start)
+        stated = self._limits.find_rate(start)
         if stated is None:
             return slots
         return min(slots, max(stated, MIN_RATE) * self._find_share() * hold_s)
 
+    def has_limits(self) -> bool:
+        """Tell whether any runner states a limit."""
+        return bool(self._limits.list_limited())
+
+    def describe(self, start: ids.RunnerStart, now: float) -> Limit | None:
+        """Return a runner's limit for the log; None if it states none."""
+        statement = self._limits.find_statement(start)
+        if statement is None or statement.rate is None:
+            return None
+        return Limit(
+            ids.parse_runner(start),
+            statement.rate,
+            round(now - statement.at, 2),
+            round(self._find_share(), 4),
+        )
+
     def retain_only(self, starts: set[ids.RunnerStart]) -> None:
         """Forget all other runners."""
         for start in set(self._buckets) - starts:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -25,6 +25,7 @@
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
+from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['Peers', 'RunnerFilter', 'Scheduler']
 
@@ -136,7 +137,7 @@
     ) -> None:
         """Create without requests; without ``limiter``, runners have none."""
         self._limiter = limiter or ratelimits.RateLimiter(
-            lambda start: None, lambda: 1.0
+            statedlimits.StatedLimits(), lambda: 1.0
         )
         self._runners = runners
         self._latencies = latencies
@@ -270,10 +271,14 @@
             self._peers.list_waiting(service),
         )
         entries = self._list_usable(service, now)
+        used = {entry.start: self._count_used(entry, now) for entry in entries}
         view = _RunnerView(
             entries,
-            {entry.start: self._count_used(entry, now) for entry in entries},
-            {entry.start: self._count_free(entry, now) for entry in entries},
+            used,
+            {
+                entry.start: self._limit_free(entry, used[entry.start], now)
+                for entry in entries
+            },
             self._health.list_avoided([entry.start for entry in entries], now),
         )
         self._grant(service, queue, view, now)
@@ -331,6 +336,7 @@
             view.used[candidate.runner] += 1
             view.free[candidate.runner] -= 1
             self._limiter.take(candidate.runner, now)
+            self._log_detour(request, candidate.runner, view, now)
             self._grant_slot(request, candidate.runner)
         if not is_yielding:
             self._yielding_since.pop(service, None)
@@ -342,6 +348,38 @@
         self.held_slots.take(runner)
         request.decide(queueing.Grant(runner))
 
+    def _log_detour(
+        self,
+        request: queueing.QueuedRequest,
+        chosen: ids.RunnerStart,
+        view: '_RunnerView',
+        now: float,
+    ) -> None:
+        limits = self._list_exhausted(view, now)
+        if not limits:
+            return
+        eliot.log_message(
+            'gateway:limit_detour',
+            attempt=request.attempt,
+            runner=ids.parse_runner(chosen),
+            limits=[limit._asdict() for limit in limits],
+        )
+
+    def _list_exhausted(
+        self, view: '_RunnerView', now: float
+    ) -> list[ratelimits.Limit]:
+        # Runners with a free slot, of whose limit nothing is left now.
+        found: list[ratelimits.Limit] = []
+        if not self._limiter.has_limits():
+            return found
+        for entry in view.entries:
+            if view.used[entry.start] >= entry.slots:
+                continue
+            limit = self._limiter.describe(entry.start, now)
+            if limit is not None and view.free[entry.start] <= 0:
+                found.append(limit)
+        return found
+
     def _has_yield_timed_out(self, service: ids.Pool, now: float) -> bool:
         since = self._yielding_since.setdefault(service, now)
         return now - since > YIELD_TIMEOUT_S
@@ -410,13 +448,22 @@
                 places=round(total, 1),
                 hold_s=round(hold, 4),
                 silent_share=round(self._peers.find_silent_share(), 3),
+                limits=[
+                    limit._asdict()
+                    for limit in self._list_exhausted(view, now)
+                ],
             )
             request.decide(
                 queueing.Refusal(retry_after_s, wait, round(before))
             )
 
     def _count_free(self, entry: dialect.RunnerEntry, now: float) -> int:
-        free = entry.slots - self._count_used(entry, now)
+        return self._limit_free(entry, self._count_used(entry, now), now)
+
+    def _limit_free(
+        self, entry: dialect.RunnerEntry, used: int, now: float
+    ) -> int:
+        free = entry.slots - used
         allowed = self._limiter.count_allowed(entry.start, now)
         return free if allowed is None else min(free, allowed)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
@@ -227,9 +227,7 @@
                     self._health,
                     view,
                     self._rng,
-                    ratelimits.RateLimiter(
-                        self._limits.find_rate, lambda: 1.0
-                    ),
+                    ratelimits.RateLimiter(self._limits, lambda: 1.0),
                 )
             )
             view.held_slots = found.decisions.held_slots
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -219,7 +219,7 @@
             self._mesh,
             self._rng,
             ratelimits.RateLimiter(
-                self._limits.find_rate, lambda: 1 / self._mesh.count_hosts()
+                self._limits, lambda: 1 / self._mesh.count_hosts()
             ),
         )
         self._candidates = candidates.Candidates(config.host, self._mesh)
--- a/tests/placesimulation.py
+++ b/tests/placesimulation.py
@@ -273,7 +273,7 @@
             _NoPeers(count),
             self.rng,
             ratelimits.RateLimiter(
-                (limits or statedlimits.StatedLimits()).find_rate,
+                limits or statedlimits.StatedLimits(),
                 lambda: 1 / self.load.hosts,
             ),
         )
--- a/tests/test_runner_limits.py
+++ b/tests/test_runner_limits.py
@@ -20,6 +20,13 @@
 LIMIT: ty.Final = 2.0
 
 
+def make_limits(rate: float) -> statedlimits.StatedLimits:
+    """Return the limits of one runner."""
+    found = statedlimits.StatedLimits()
+    found.note_answer(START, rate, 0.0, 0.0)
+    return found
+
+
 def count_allowed(rate: float) -> float:
     """Return how many requests a window may hold."""
     return 1.5 * WINDOW_S * rate + 5
@@ -75,7 +82,7 @@
         self, rate: float, seconds: float, share: float = 1.0
     ) -> int:
         """Return how many requests are sent if more are always waiting."""
-        limiter = ratelimits.RateLimiter(lambda start: rate, lambda: share)
+        limiter = ratelimits.RateLimiter(make_limits(rate), lambda: share)
         sent = 0
         for step in range(round(seconds / 0.02)):
             now = step * 0.02
@@ -93,7 +100,7 @@
 
     def test_pause_saves_few_requests(self) -> None:
         """Guards against a burst after a pause."""
-        limiter = ratelimits.RateLimiter(lambda start: 5.0, lambda: 1.0)
+        limiter = ratelimits.RateLimiter(make_limits(5.0), lambda: 1.0)
         limiter.count_allowed(START, 0.0)
         self.assertEqual(
             ratelimits.BURST_REQUESTS, limiter.count_allowed(START, 60.0)
