--- a/packages/apricotlanding/src/apricotlanding/crashreports.py
+++ b/packages/apricotlanding/src/apricotlanding/crashreports.py
@@ -37,9 +37,9 @@
         """Return the hosts that can be reached."""
 
     def send_blames(
-        self, blames: list[quarantine.Blame], host: ids.Host
+        self, blames: list[quarantine.Blame], hosts: list[ids.Host]
     ) -> None:
-        """Send some rows to a host; they may be lost."""
+        """Send some rows to hosts; they may be lost."""
 
 
 @ty.final
@@ -158,7 +158,7 @@
         """Send what is known to one host."""
         rows = self._quarantine.list_rows(MAX_ROWS, self._rng, now)
         if rows:
-            self._peers.send_blames(rows, host)
+            self._peers.send_blames(rows, [host])
 
     def _publish(self, blames: list[quarantine.Blame], now: float) -> None:
         if not blames:
@@ -172,8 +172,7 @@
         targets = self._peers.list_hosts()
         for first in range(0, len(blames), MAX_ROWS):
             part = blames[first : first + MAX_ROWS]
-            for host in targets:
-                self._peers.send_blames(part, host)
+            self._peers.send_blames(part, targets)
 
     def _log_changes(self, keys: set[ids.ContentKey], now: float) -> None:
         for key in sorted(keys):
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -333,10 +333,10 @@
             if candidate is None:
                 continue
             left -= 1
+            self._log_detour(request, candidate.runner, view, now)
             view.used[candidate.runner] += 1
             view.free[candidate.runner] -= 1
             self._limiter.take(candidate.runner, now)
-            self._log_detour(request, candidate.runner, view, now)
             self._grant_slot(request, candidate.runner)
         if not is_yielding:
             self._yielding_since.pop(service, None)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/crashmessages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/crashmessages.py
@@ -65,10 +65,8 @@
         return list(self._hosts.peers)
 
     def send_blames(
-        self, blames: list[quarantine.Blame], host: ids.Host
+        self, blames: list[quarantine.Blame], hosts: list[ids.Host]
     ) -> None:
-        """Send some rows to a host; they may be lost."""
-        address = self._hosts.find_address(host)
-        if address is not None:
-            rows = [BlameRow(*blame) for blame in blames]
-            self._hosts.send(CrashReport(rows), address)
+        """Send some rows to hosts; they may be lost."""
+        rows = [BlameRow(*blame) for blame in blames]
+        self._hosts.send_to_all(CrashReport(rows), hosts)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/mesh.py
@@ -290,6 +290,14 @@
         """Send a datagram, which may be lost."""
         self._send(messages.registry.encode(message), address)
 
+    def send_to_all(self, message: object, hosts: list[ids.Host]) -> None:
+        """Send a datagram to several hosts; it is encoded once."""
+        data = messages.registry.encode(message)
+        for host in hosts:
+            peer = self.peers.get(host)
+            if peer is not None:
+                self._send(data, peer.address)
+
     # Discovery and messages.
 
     def probe_address(self, address: addresses.Address) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/requests/crashguard.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/crashguard.py
@@ -50,11 +50,11 @@
         return [item.host for item in self._peers.list_dialed()]
 
     def send_blames(
-        self, blames: list[quarantine.Blame], host: ids.Host
+        self, blames: list[quarantine.Blame], hosts: list[ids.Host]
     ) -> None:
-        """Send some rows to a host; they may be lost."""
+        """Send some rows to hosts; they may be lost."""
         for connection in self._peers.list_dialed():
-            if connection.host == host:
+            if connection.host in hosts:
                 connection.push(wire.CrashReport(blames))
 
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -45,12 +45,13 @@
         return [name for name in self._system.names if name != self.name]
 
     def send_blames(
-        self, blames: list[quarantine.Blame], host: ids.Host
+        self, blames: list[quarantine.Blame], hosts: list[ids.Host]
     ) -> None:
-        self._system.messages += 1
-        if self.is_cut or self._system.rng.random() < LOSS:
-            return
-        self._system.in_flight.append((host, blames))
+        for host in hosts:
+            self._system.messages += 1
+            if self.is_cut or self._system.rng.random() < LOSS:
+                continue
+            self._system.in_flight.append((host, blames))
 
     def is_in_touch(self, now: float) -> bool:
         return not self.is_cut and now - self.started_at > CONTACT_S
--- a/tests/test_fuzz_gateway.py
+++ b/tests/test_fuzz_gateway.py
@@ -449,7 +449,7 @@
         return []
 
     def send_blames(
-        self, blames: list[quarantine.Blame], host: ids.Host
+        self, blames: list[quarantine.Blame], hosts: list[ids.Host]
     ) -> None:
         raise AssertionError('there is nobody')
 
