Roll-outs: follow the order, try, judge, move, complete or roll back

Cause: nothing of the users' roll-outs existed. An order was not read, the releases of runners were not told apart, and no status was written; new runners got their full share of requests before and after the order.

Change: runners of a service form one pool a release. Where the contract is in force (the settings say so), requests go to the release that the service runs; others get nothing without an order. Each host reports what it sent and what came back to the first live host in an order of its own; that host decides, all follow its replies for as long as these hold, and its statuses are stored under the condition that the topic ends where it was read. A trial gets at most 0.8 of the bound's share and 0.4 of its slack; it is judged by Bayes factors of failures, slow answers and slow runners, by route, over the whole time and the last 2 and 5 s, with and without the worst runner. The move is as late as the longest requests allow, and is completed when no host has a request at an old runner.

Seen failing first: the five scenes of platform/tests/test_rollouts.py, on the code before (no status is ever written).

The code that chooses readers of the store and that applies operators' records moves out of gateway.py, the report of failures out of exchange.py; both are shorter than before.

--- a/packages/apricotlanding/src/apricotlanding/ids.py
+++ b/packages/apricotlanding/src/apricotlanding/ids.py
@@ -37,6 +37,7 @@
     'Offset',
     'Organisation',
     'Pool',
+    'Release',
     'Route',
     'Runner',
     'RunnerStart',
@@ -48,8 +49,10 @@
     'identify_crash',
     'is_earlier_start',
     'make_incarnation',
+    'make_pool',
     'make_runner_start',
     'parse_host',
+    'parse_service',
     'parse_start_time',
     'read_issue_time',
 ]
@@ -57,6 +60,8 @@
 Organisation = ty.NewType('Organisation', str)
 Route = ty.NewType('Route', str)
 Pool = ty.NewType('Pool', str)
+# Version of the software that a runner runs.
+Release = ty.NewType('Release', str)
 Runner = ty.NewType('Runner', str)
 # ``TIME@RUNNER``; see ``make_runner_start``.
 RunnerStart = ty.NewType('RunnerStart', str)
@@ -126,6 +131,19 @@
     return RunnerStart(f'{"" if start_ms is None else start_ms}@{runner}')
 
 
+def make_pool(service: Pool, release: Release) -> Pool:
+    """Return the name of a service's runners of one release.
+
+    Without a release it is the service itself, which has one pool.
+    """
+    return Pool(f'{service}@{release}') if release else service
+
+
+def parse_service(pool: Pool) -> Pool:
+    """Return the service of a pool."""
+    return Pool(pool.partition('@')[0])
+
+
 def parse_runner(start: RunnerStart) -> Runner:
     """Return the registered id of the runner."""
     return Runner(start.partition('@')[2])
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -392,7 +392,7 @@
                 runner=entry.start,
                 used=view.used[entry.start],
                 slots=entry.slots,
-                latency=self._latencies.find(entry.service, entry.start),
+                latency=self._latencies.find(entry.pool, entry.start),
                 is_avoided=entry.start in view.avoided,
                 has_cached_prefix=self._has_cached_prefix(
                     request.last_part, entry.start, now
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -13,17 +13,20 @@
 from apricotlanding import addresses
 from apricotlanding import ids
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.rollouts import orders
 
 __all__ = [
     'AnswerHead',
     'Batch',
     'CorruptRecord',
     'Dialect',
+    'GatewayStore',
     'HeaderList',
     'HistoryGone',
     'Record',
     'RequestHead',
     'RunnerEntry',
+    'StatusStore',
     'Store',
     'StoreUnavailable',
     'Topic',
@@ -104,6 +107,13 @@
     slots: int
     # Finishes its requests and accepts no new ones.
     is_draining: bool
+    # Version of its software; '' where releases are not distinguished.
+    release: ids.Release = ids.Release('')
+
+    @property
+    def pool(self) -> ids.Pool:
+        """Return the pool that the runner belongs to."""
+        return ids.make_pool(self.service, self.release)
 
 
 @ty.final
@@ -189,6 +199,14 @@
     def decode_runner(self, key: str, data: bytes) -> RunnerEntry:
         """Decode a registration; raises Unreadable."""
 
+    def decode_order(
+        self, key: str, offset: int, data: bytes
+    ) -> orders.Order | None:
+        """Decode the order of a roll-out; None if the key is of no order.
+
+        Raises Unreadable.
+        """
+
 
 class Store(ty.Protocol):
     """The platform's store of records."""
@@ -220,3 +238,26 @@
         self, host: ids.Host, address: addresses.Address
     ) -> None:
         """Publish the address at which this host listens for peers."""
+
+
+class StatusStore(ty.Protocol):
+    """The statuses of roll-outs in the platform's store."""
+
+    async def read_status(self, service: ids.Pool) -> orders.StatusPage:
+        """Return the status of a service's roll-out.
+
+        Raises StoreUnavailable.
+        """
+
+    async def write_status(
+        self, service: ids.Pool, status: orders.Status, end_offset: int
+    ) -> bool:
+        """Write a status if nothing was written since ``end_offset``.
+
+        Returns whether it was written. Raises StoreUnavailable, in which case
+        it may have been, or may be for as long as the condition holds.
+        """
+
+
+class GatewayStore(Store, StatusStore, ty.Protocol):
+    """Everything that a gateway uses of the platform's store."""
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
@@ -511,7 +511,7 @@
         if self._hosts.has_multiple_groups():
             return True
         return any(
-            entry is not None and entry.service == service
+            entry is not None and entry.pool == service
             for entry in (
                 self._runners.find(start)
                 for start, _ in self._limits.list_limited()
@@ -547,7 +547,7 @@
         self._changes = self._runners.changes
         self._subsets.clear()
         self._subset_of.clear()
-        for service in self._runners.list_services():
+        for service in self._runners.list_pools():
             entries = self._runners.list_open(service)
             found = subsets.list_subsets(service, len(entries))
             self._subsets[service] = found
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -11,6 +11,7 @@
     ├── pump         schedules waiting requests at an interval
     ├── tidy         drops connections, runners and peers that are gone
     ├── crashes      finds out why runners cut requests
+    ├── rollouts     stores the statuses of roll-outs
     ├── restarts     closes connections of runners that restarted
     ├── settings     reloads the settings when they were written
     └── signals      SIGTERM stops, SIGHUP reloads the settings
@@ -61,12 +62,14 @@
 from apricotlandingd.gateway.process import hoststates
 from apricotlandingd.gateway.process import inputerrors
 from apricotlandingd.gateway.process import joining
+from apricotlandingd.gateway.process import operatorrecords
 from apricotlandingd.gateway.process import registrations
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import stalls
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.replication import catchup
 from apricotlandingd.gateway.replication import freshness
+from apricotlandingd.gateway.replication import readerchoice
 from apricotlandingd.gateway.replication import recordexchange
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import storereader
@@ -76,6 +79,7 @@
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclients
 from apricotlandingd.gateway.requests import sharedstate
+from apricotlandingd.gateway.rollouts import rollouts
 from apricotlandingd.gateway.runners import crashes
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
@@ -92,13 +96,6 @@
 MIN_PEER_PUMP_INTERVAL_S = 0.005
 # Interval between cleanups of connections, runners and peers that are gone.
 CLEANUP_INTERVAL_S = 0.5
-# Hosts of a group that read the store themselves; the others get records from
-# them. In a single group this is more than enough even if the store rejects a
-# third of the hosts; with several groups, records also spread between groups.
-MAX_READERS = 8
-MAX_READERS_PER_GROUP = 3
-# Groups whose hosts read the store; the other groups get records from these.
-READING_GROUPS = 4
 # Interval between checks of the settings file for changes.
 SETTINGS_INTERVAL_S = 1.0
 
@@ -111,7 +108,7 @@
         self,
         config: settings.GatewaySettings,
         platform_dialect: dialect.Dialect,
-        store: dialect.Store,
+        store: dialect.GatewayStore,
         reload: collections.abc.Callable[[], settings.GatewaySettings],
         read_stamp: collections.abc.Callable[[], int],
     ) -> None:
@@ -157,7 +154,7 @@
                 self._store,
                 self._replica,
                 self._freshness,
-                self._find_readers,
+                lambda: self._reader_choice.find_readers(),
                 self._directory.note_outage,
                 self._directory.note_return,
                 lambda: self._mesh.request_update(),
@@ -186,6 +183,9 @@
             ),
             self._rng,
         )
+        self._reader_choice = readerchoice.ReaderChoice(
+            config.host, self._mesh
+        )
         self._mesh.on_state = self._handle_state
         self._mesh.on_dropped = self._forget_peer
         self._mesh.on_unreadable = functools.partial(
@@ -196,7 +196,26 @@
             self._directory,
             self._input_errors,
             self._end_earlier_starts,
+            config.has_rollouts,
+        )
+        self._rollouts = rollouts.Rollouts(
+            config.host,
+            config.state,
+            self.incarnation,
+            self._mesh,
+            self._directory,
+            self._store,
+            settings.find_exposure_bounds(config.bounds),
+            config.has_rollouts,
+        )
+        self._operator_records = operatorrecords.OperatorRecords(
+            self._dialect,
+            self._input_errors,
+            self._apply_catalogue,
+            self._rollouts.handle_order,
         )
+        for message_type, handler in self._rollouts.list_handlers():
+            self._mesh.subscribe(message_type, handler)
 
     def _build_requests(self) -> None:
         config = self._settings
@@ -332,6 +351,7 @@
             routestats=routestats.RouteStats(),
             limits=self._limits,
             limit_reports=self._limit_reports,
+            participant=self._rollouts.participant,
             crash_guard=crashguard.CrashGuard(
                 self._crash_reports, self._crash_detector, self._telemetry
             ),
@@ -355,6 +375,8 @@
             'runner_connects_total': self._clients.count_connects,
             'quarantined_contents': self._crash_reports.count_quarantined,
             'blamed_contents': self._crash_reports.count_blamed,
+            'rollouts_open': self._rollouts.count_open,
+            'rollout_trial_requests': self._rollouts.count_trials,
             'limited_runners': lambda: len(self._limits.list_limited()),
             'stalls_total': lambda: self._stalls.count,
             'stalled_seconds_total': lambda: self._stalls.seconds,
@@ -389,6 +411,8 @@
             tree.start('tidy', self._clean_up_forever)
             tree.start('restarts', self._clients.run)
             tree.start('crashes', self._crash_detector.run)
+            if self._settings.has_rollouts:
+                tree.start('rollouts', self._rollouts.run)
             tree.start('signals', self._watch_signals)
             tree.start('settings', self._watch_settings)
             eliot.log_message('gateway:started', incarnation=self.incarnation)
@@ -445,7 +469,7 @@
     ) -> None:
         now = clocks.read_monotonic()
         if topic == dialect.CONFIG:
-            self._handle_catalogue(record, now)
+            self._operator_records.handle_record(record, now)
         else:
             self._registrations.handle_record(record, now)
         self._scheduler.schedule_all(now)
@@ -468,49 +492,9 @@
             clocks.read_monotonic(),
         )
 
-    def _handle_catalogue(self, record: dialect.Record, now: float) -> None:
-        if record.value is None:
-            return
-        try:
-            found = self._dialect.decode_catalogue(record.value)
-        except dialect.Unreadable as error:
-            # The previous version stays in force: for callers that is better
-            # than no configuration.
-            self._input_errors.report(
-                inputerrors.Source.CONFIGURATION, record.key, str(error), now
-            )
-            return
-        known = self._catalogue
-        if known is not None and found.version <= known.version:
-            return
+    def _apply_catalogue(self, found: catalogue.Catalogue) -> None:
         self._catalogue = found
         self._server.set_idle_timeout(found.limits.idle_s + 1.0)
-        eliot.log_message(
-            'gateway:configuration',
-            version=found.version,
-            offset=record.offset,
-        )
-
-    def _find_readers(self) -> freshness.Readers:
-        # Readers are the first hosts by name that report reaching the store. A
-        # host that hears of too few of them reads too.
-        own = self._settings.host
-        heard = [
-            peer for peer in self._mesh.list_heard() if peer.state.reads_store
-        ]
-        before = sum(peer.is_near and peer.state.host < own for peer in heard)
-        return freshness.Readers(
-            others=tuple(peer.state.host for peer in heard),
-            own=own,
-            is_reading=before < self._count_readers(),
-        )
-
-    def _count_readers(self) -> int:
-        # The limit for this host's group.
-        partition = self._mesh.partition
-        if partition.count == 1:
-            return MAX_READERS
-        return MAX_READERS_PER_GROUP if partition.own < READING_GROUPS else 0
 
     def _reads_store(self, now: float) -> bool:
         return all(
@@ -600,6 +584,7 @@
             self._shared_allowances.tick(now)
             self._crash_reports.tick(now)
             self._limit_reports.tick(now)
+            self._rollouts.tick(now)
 
     def _pump(self, now: float) -> None:
         self._pumped_at = now
@@ -666,6 +651,7 @@
         bounds = found.bounds
         self._directory.set_drain_time(bounds.drain_s)
         self._freshness.set_bounds(settings.find_topic_bounds(bounds))
+        self._rollouts.set_bounds(settings.find_exposure_bounds(bounds))
         self._allowances.set_slack(bounds.quota_slack)
         self._shared_allowances.set_slack(bounds.quota_slack)
         self._retry_budget.set_bounds(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
@@ -1,6 +1,7 @@
 """Applies the records of runners' registrations, and logs what they change."""
 
 import collections.abc
+import dataclasses
 import typing as ty
 
 import eliot
@@ -23,15 +24,18 @@
         runners: directory.Directory,
         input_errors: inputerrors.InputErrors,
         on_start: collections.abc.Callable[[ids.RunnerStart], None],
+        has_rollouts: bool = False,
     ) -> None:
         """Apply records to a directory.
 
-        ``on_start`` is called with each new start of a runner.
+        ``on_start`` is called with each new start of a runner. Without
+        ``has_rollouts``, releases of runners are not distinguished.
         """
         self._dialect = platform_dialect
         self._directory = runners
         self._input_errors = input_errors
         self._on_start = on_start
+        self._has_rollouts = has_rollouts
 
     def handle_record(self, record: dialect.Record, now: float) -> None:
         """Apply the newest record of a runner."""
@@ -46,6 +50,8 @@
             except dialect.Unreadable as error:
                 self._retract(runner, str(error), now)
                 return
+            if not self._has_rollouts:
+                entry = dataclasses.replace(entry, release=ids.Release(''))
             birth = ids.parse_start_time(entry.start)
             state = 'draining' if entry.is_draining else 'open'
             result = self._directory.update(entry)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
@@ -9,9 +9,15 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import rolloutplan
 from apricotlandingd.gateway import dialect
 
-__all__ = ['Bounds', 'GatewaySettings', 'find_topic_bounds']
+__all__ = [
+    'Bounds',
+    'GatewaySettings',
+    'find_exposure_bounds',
+    'find_topic_bounds',
+]
 
 
 @ty.final
@@ -32,6 +38,11 @@
     retry_window_s: float
     # Units that all hosts together may grant beyond an allowance.
     quota_slack: float
+    # Requests that a new release of a service may get while it may still turn
+    # out to be bad, for all hosts together: a share of the service's, and
+    # ``exposure_slack`` beyond it.
+    exposure_share: float = 0.0
+    exposure_slack: float = 0.0
 
 
 @ty.final
@@ -53,8 +64,15 @@
     seeds: tuple[addresses.Address, ...]
     store: addresses.Address
     bounds: Bounds
+    # Operators order which releases of a service may get requests.
+    has_rollouts: bool = False
 
 
 def find_topic_bounds(bounds: Bounds) -> dict[dialect.Topic, float]:
     """Return the seconds within which changes of each topic take effect."""
     return {dialect.CONFIG: bounds.apply_s, dialect.RUNNERS: bounds.drain_s}
+
+
+def find_exposure_bounds(bounds: Bounds) -> rolloutplan.Bounds:
+    """Return the bound on the requests that a bad release may get."""
+    return rolloutplan.Bounds(bounds.exposure_share, bounds.exposure_slack)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -21,11 +21,9 @@
 import typing as ty
 
 import anyio
-import eliot
 
 from apricotlanding import asgi
 from apricotlanding import clocks
-from apricotlanding import contentkeys
 from apricotlanding import errors
 from apricotlanding import ids
 from apricotlanding import taskgroups
@@ -80,6 +78,8 @@
             send, shared.http_dialect, shared.is_stopping
         )
         self._admission = admission.Admission(shared, scope)
+        # Where it waits, or has the place that it holds.
+        self._pool = ids.Pool('')
         self._notes = runnernotes.RunnerNotes(shared, self._admission)
         # Number of runners that bytes of this request were sent to.
         self._sends = 0
@@ -224,7 +224,7 @@
         problem = guard.find_problem(self._admission, now)
         if problem is not None:
             return problem
-        decision = await self._wait_for_place()
+        decision = await self._wait_for_open()
         if isinstance(decision, queueing.Refusal):
             return errors.make_problem(
                 errors.Kind.NO_PLACE, decision.retry_after_s
@@ -237,6 +237,18 @@
             return problem
         return decision
 
+    async def _wait_for_open(self) -> queueing.Grant | queueing.Refusal:
+        while True:
+            decision = await self._wait_for_place()
+            if isinstance(decision, queueing.Refusal):
+                return decision
+            entry = self._shared.directory.find(decision.runner)
+            now = clocks.read_monotonic()
+            if entry is None or self._shared.participant.may_use(entry, now):
+                return decision
+            # The service has moved to another release meanwhile.
+            self._release(decision)
+
     async def _wait_for_place(self) -> queueing.Grant | queueing.Refusal:
         now = clocks.read_monotonic()
         queue_entry = queueentries.make_queue_entry(
@@ -249,6 +261,7 @@
                 tried=self._tried,
             ),
         )
+        self._pool = queue_entry.service
         self._shared.dispatcher.enter(queue_entry, now)
         if queue_entry.decision is None:
             self._shared.on_change()
@@ -280,7 +293,8 @@
             if entry is None:
                 self._detail = 'the runner has left'
                 return _SendResult.NOT_RUN
-            end = await self._send_to(entry, began_at)
+            with self._notes.track(entry):
+                end = await self._send_to(entry, began_at)
             if end is _SendResult.DONE:
                 slot_time_s = clocks.read_monotonic() - began_at
                 self._notes.note(
@@ -292,7 +306,7 @@
 
     def _release(self, grant: queueing.Grant) -> None:
         now = clocks.read_monotonic()
-        self._shared.dispatcher.release(self._admission.service, grant, now)
+        self._shared.dispatcher.release(self._pool, grant, now)
         self._shared.on_change()
 
     async def _send_to(
@@ -321,7 +335,7 @@
             self._deliveries -= 1
             self._may_have_run = may_have_run_before
             self._detail = str(error)
-            self._note_failure(entry, is_reached=False)
+            self._notes.note_failure(entry, False, self._detail)
             return _SendResult.NOT_RUN
         except (
             webclient.Broken,
@@ -333,7 +347,7 @@
                 now = clocks.read_monotonic()
                 runner = ids.parse_runner(entry.start)
                 self._shared.on_malformed_answer(runner, str(error), now)
-            self._note_failure(entry, is_reached=True)
+            self._notes.note_failure(entry, True, self._detail)
             if isinstance(error, webclient.Broken):
                 await self._shared.crash_guard.report_cut(
                     entry, self._admission, self._may_abandon()
@@ -361,27 +375,6 @@
             is_repeatable=self._admission.route.is_repeatable(),
         )
 
-    def _note_failure(
-        self, entry: dialect.RunnerEntry, is_reached: bool
-    ) -> None:
-        now = clocks.read_monotonic()
-        if is_reached and now >= self._admission.deadline_at:
-            # The runner stopped at the deadline that was sent to it.
-            return
-        if is_reached:
-            self._notes.note(entry, observations.Kind.FAILURE)
-        else:
-            self._notes.note(entry, observations.Kind.UNREACHABLE)
-        self._shared.telemetry.count('runner_failures_total')
-        eliot.log_message(
-            'gateway:runner_failed',
-            attempt=self._admission.head.attempt,
-            runner=ids.parse_runner(entry.start),
-            is_reached=is_reached,
-            detail=self._detail,
-            content=contentkeys.format_key(self._admission.content_key),
-        )
-
     # Inactivity.
 
     @contextlib.asynccontextmanager
@@ -392,9 +385,7 @@
         if not self._may_abandon():
             yield timeout
             return
-        estimate = self._shared.latencies.find(
-            self._admission.service, entry.start
-        )
+        estimate = self._shared.latencies.find(entry.pool, entry.start)
         first = estimate.predict_first_event(
             self._admission.head.prompt_tokens
         )
@@ -420,7 +411,7 @@
                 continue
             now = clocks.read_monotonic()
             has_other = self._shared.dispatcher.has_place(
-                self._admission.service, self._tried, now
+                self._pool, self._tried, now
             )
             if has_other and self._take_retry(now):
                 self._has_retry = True
@@ -508,7 +499,7 @@
             self._detail = f'status {head.status}'
             self._notes.note(entry, observations.Kind.FAILURE)
             return _SendResult.FAILED
-        self._notes.note(entry, observations.Kind.SUCCESS)
+        self._notes.note_success(entry, began_at, 0)
         self._first_at = self._first_at or now
         self._notes.note(
             entry, observations.Kind.FIRST, seconds=now - began_at
@@ -569,7 +560,8 @@
         if not self._reply.has_begun:
             await self._reply.begin(head)
         await self._reply.finish(head)
-        self._notes.note_end(entry, reader.count - before, first_at)
+        events = reader.count - before
+        self._notes.note_end(entry, events, began_at, first_at)
         return _SendResult.DONE
 
     # Answers of the gateway.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/queueentries.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/queueentries.py
@@ -11,6 +11,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.requests import admission
+from apricotlandingd.gateway.requests import poolchoice
 from apricotlandingd.gateway.requests import sharedstate
 
 __all__ = ['Progress', 'make_queue_entry']
@@ -52,7 +53,9 @@
     )
     return queueing.QueuedRequest(
         attempt=head.attempt,
-        service=admitted.service,
+        service=poolchoice.choose_pool(
+            shared, admitted, progress.sends > 0, progress.tried, now
+        ),
         tier=RESUME_TIER if progress.has_begun else _find_tier(admitted),
         route_tier=route.tier,
         arrived_at=now,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
@@ -1,9 +1,15 @@
 """What one request shows of the runners that it was sent to."""
 
+import collections.abc
+import contextlib
 import typing as ty
 
+import eliot
+
 from apricotlanding import clocks
+from apricotlanding import contentkeys
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import evidence
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.requests import admission
 from apricotlandingd.gateway.requests import sharedstate
@@ -11,6 +17,10 @@
 
 __all__ = ['RunnerNotes']
 
+# Multiple of the predicted time after which a request that is cut off counts
+# as an answer of that time.
+OVERDUE_RATIO = 4.0
+
 
 @ty.final
 class RunnerNotes:
@@ -33,11 +43,84 @@
     ) -> None:
         """Report an observation of a runner."""
         self._shared.dispatcher.note(
-            self._admission.service,
+            entry.pool,
             entry.start,
             observations.Observation(kind, amount, seconds, part),
             clocks.read_monotonic(),
         )
+        if kind is observations.Kind.FAILURE:
+            self._count_answer(entry, evidence.FAILURE_BIN)
+
+    @contextlib.contextmanager
+    def track(
+        self, entry: dialect.RunnerEntry
+    ) -> collections.abc.Iterator[None]:
+        """Count a request at a runner while it is sent and answered."""
+        began_at = clocks.read_monotonic()
+        self._shared.participant.begin(entry)
+        try:
+            yield
+        except BaseException:
+            self._note_cut(entry, clocks.read_monotonic() - began_at)
+            raise
+        finally:
+            seconds = clocks.read_monotonic() - began_at
+            self._shared.participant.end(entry, seconds)
+
+    def note_failure(
+        self, entry: dialect.RunnerEntry, is_reached: bool, detail: str
+    ) -> None:
+        """Report that a runner did not answer as it should, and log it."""
+        now = clocks.read_monotonic()
+        if is_reached and now >= self._admission.deadline_at:
+            # The runner stopped at the deadline that was sent to it.
+            return
+        if is_reached:
+            self.note(entry, observations.Kind.FAILURE)
+        else:
+            self.note(entry, observations.Kind.UNREACHABLE)
+        self._shared.telemetry.count('runner_failures_total')
+        eliot.log_message(
+            'gateway:runner_failed',
+            attempt=self._admission.head.attempt,
+            runner=ids.parse_runner(entry.start),
+            is_reached=is_reached,
+            detail=detail,
+            content=contentkeys.format_key(self._admission.content_key),
+        )
+
+    def note_success(
+        self, entry: dialect.RunnerEntry, began_at: float, events: int
+    ) -> None:
+        """Report a valid answer to a request that was sent at a time."""
+        self.note(entry, observations.Kind.SUCCESS)
+        seconds = clocks.read_monotonic() - began_at
+        number = evidence.find_bin(seconds, self._predict(events))
+        self._count_answer(entry, number)
+
+    def _note_cut(self, entry: dialect.RunnerEntry, seconds: float) -> None:
+        # The caller has left or its deadline has passed: how long an answer
+        # would have taken is not known, only that it took longer.
+        shared, admitted = self._shared, self._admission
+        events = shared.routestats.predict_events(
+            admitted.route,
+            admitted.head.expected_tokens,
+            admitted.event_tokens,
+        )
+        predicted_s = self._predict(events)
+        if seconds >= OVERDUE_RATIO * predicted_s:
+            number = evidence.find_bin(seconds, predicted_s)
+            self._count_answer(entry, number)
+
+    def _predict(self, events: float) -> float:
+        median = self._shared.latencies.find_median(self._admission.service)
+        tokens = self._admission.head.prompt_tokens
+        return median.predict_answer(tokens, events)
+
+    def _count_answer(self, entry: dialect.RunnerEntry, number: int) -> None:
+        self._shared.participant.note_answer(
+            entry, self._admission.route.name, number
+        )
 
     def note_limit(
         self,
@@ -84,11 +167,12 @@
         self,
         entry: dialect.RunnerEntry,
         events: int,
+        began_at: float,
         first_at: float | None,
     ) -> None:
         """Report a stream that ended, and when its first event came."""
         self.note_completion(entry)
-        self.note(entry, observations.Kind.SUCCESS)
+        self.note_success(entry, began_at, events)
         if first_at is None or events < 2:
             return
         rest_s = clocks.read_monotonic() - first_at
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -19,6 +19,7 @@
 from apricotlandingd.gateway.requests import crashguard
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclient
+from apricotlandingd.gateway.rollouts import participant
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import statedlimits
@@ -54,3 +55,4 @@
     crash_guard: crashguard.CrashGuard
     limits: statedlimits.StatedLimits
     limit_reports: limitmessages.LimitReports
+    participant: participant.Participant
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -15,10 +15,13 @@
 in the records; the runner writes its own again with its next heartbeat.
 """
 
+import collections
 import dataclasses
 import enum
 import typing as ty
 
+import xxhash
+
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
 
@@ -77,6 +80,8 @@
         # The latest start of each runner.
         self._registrations: dict[ids.Runner, _Registration] = {}
         self._removed: dict[ids.Runner, _Removed] = {}
+        # Number of runners that are open, for pools where not all are.
+        self._pool_limits: dict[ids.Pool, int] = {}
         self._outage_at: float | None = None
         self._return_at: float | None = None
         # Number of changes, for users that cache data derived from this.
@@ -158,22 +163,46 @@
             return None
         return registration.entry
 
-    def list_open(self, service: ids.Pool) -> list[dialect.RunnerEntry]:
-        """Return the runners of a service that accept new requests."""
-        return [
+    def list_open(self, pool: ids.Pool) -> list[dialect.RunnerEntry]:
+        """Return the runners of a pool that accept new requests."""
+        found = [
             registration.entry
             for registration in self._registrations.values()
-            if registration.entry.service == service
+            if registration.entry.pool == pool
             and not registration.entry.is_draining
         ]
+        limit = self._pool_limits.get(pool, 0)
+        if not limit or len(found) <= limit:
+            return found
+        # By the registered id, so that all hosts open the same ones.
+        found.sort(key=lambda entry: _hash_runner(entry.start))
+        return found[:limit]
+
+    def limit_pool(self, pool: ids.Pool, count: int) -> None:
+        """Open only this number of a pool's runners; 0 for all."""
+        if self._pool_limits.get(pool, 0) == count:
+            return
+        self._pool_limits[pool] = count
+        self.changes += 1
 
-    def list_services(self) -> set[ids.Pool]:
-        """Return the services that have runners."""
+    def list_pools(self) -> set[ids.Pool]:
+        """Return the pools that have runners."""
         return {
-            registration.entry.service
+            registration.entry.pool
             for registration in self._registrations.values()
         }
 
+    def count_releases(
+        self, service: ids.Pool
+    ) -> collections.Counter[ids.Release]:
+        """Return the number of open runners of a service by release."""
+        return collections.Counter(
+            registration.entry.release
+            for registration in self._registrations.values()
+            if registration.entry.service == service
+            and not registration.entry.is_draining
+        )
+
     def list_all(self) -> list[dialect.RunnerEntry]:
         """Return all known runners."""
         return [
@@ -210,3 +239,8 @@
         if self._outage_at is None:
             return False
         return now - self._outage_at < LAPSE_WINDOW_S
+
+
+def _hash_runner(start: ids.RunnerStart) -> int:
+    runner = ids.parse_runner(start)
+    return xxhash.xxh3_64_intdigest(runner.encode())
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/latency.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/latency.py
@@ -104,7 +104,11 @@
         return self.find_median(service)
 
     def find_median(self, service: ids.Pool) -> LatencyEstimate:
-        """Return the median latency of a service's runners."""
+        """Return the median latency of a service's runners.
+
+        The pools of one service share it: a new release has no answers yet.
+        """
+        service = ids.parse_service(service)
         known = [
             self._latencies[runner]
             for runner in self._services.get(service, ())
@@ -130,6 +134,7 @@
     def _open(
         self, service: ids.Pool, runner: ids.RunnerStart
     ) -> LatencyEstimate:
+        service = ids.parse_service(service)
         self._services.setdefault(service, set()).add(runner)
         return self._latencies.setdefault(runner, LatencyEstimate())
 
