--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/queueing.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/queueing.py
@@ -6,8 +6,9 @@
 
 Order: requests are sorted by tier, as set by the operators. Within a tier,
 requests that can still meet their objective come before those that cannot, and
-both groups are sorted by deadline. A late answer is worth less to a caller, so
-under overload a slot goes to a request that can still be on time.
+both groups are sorted by deadline, which ``queueorder`` may move ahead. A late
+answer is worth less to a caller, so under overload a slot goes to a request
+that can still be on time.
 
 Rejection: a request is rejected as soon as its predicted start is after the
 time at which its caller will have left or has no more use for the answer. A
@@ -16,7 +17,6 @@
 """
 
 import dataclasses
-import random
 import typing as ty
 
 import anyio
@@ -28,15 +28,9 @@
     'QueuedRequest',
     'Rank',
     'Refusal',
-    'choose_retry_delay',
     'predict_wait',
 ]
 
-# Callers honour a retry delay up to this share of their remaining time.
-MAX_RETRY_DELAY_SHARE = 0.32
-# An earlier retry would only be rejected again.
-MIN_RETRY_DELAY_S = 0.1
-
 
 class Rank(ty.NamedTuple):
     """Position of a request in the queue; the smallest comes first."""
@@ -45,7 +39,8 @@
     route_tier: int
     # The objective can no longer be met.
     is_late: bool
-    # Latest start that meets the objective.
+    # Latest start that meets the objective, less what the request is moved
+    # ahead by.
     on_time_by: float
 
     def shift(self, seconds: float) -> 'Rank':
@@ -104,13 +99,20 @@
     # How much it counts for the requests behind it: a request that waits in
     # two queues takes a slot of only one.
     queue_weight: float = 1.0
+    # Seconds by which it is moved ahead in the queue.
+    advance_s: float = 0.0
     decision: Grant | Refusal | None = None
     decided: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     def find_rank(self, now: float) -> Rank:
         """Return the position in the queue; the smallest comes first."""
         is_late = now > self.on_time_by
-        return Rank(self.tier, self.route_tier, is_late, self.on_time_by)
+        return Rank(
+            self.tier,
+            self.route_tier,
+            is_late,
+            self.on_time_by - self.advance_s,
+        )
 
     def decide(self, decision: Grant | Refusal) -> None:
         """Set the decision and notify the waiting task."""
@@ -130,17 +132,3 @@
         return float('inf')
     missing = ahead + 1 - free
     return max(0, missing) * hold_s / slots
-
-
-def choose_retry_delay(
-    wait_s: float, left_s: float, rng: random.Random
-) -> float:
-    """Return after how many seconds a rejected caller should retry.
-
-    The delay is random, between the predicted wait and the longest delay that
-    the caller accepts. Callers that are rejected together would otherwise
-    retry together and cause the next burst.
-    """
-    longest = max(MIN_RETRY_DELAY_S, left_s * MAX_RETRY_DELAY_SHARE)
-    shortest = min(max(MIN_RETRY_DELAY_S, wait_s), longest * 0.6)
-    return rng.uniform(shortest, longest)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -21,6 +21,7 @@
 from apricotlandingd.gateway.decisions import placement
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.decisions import ratelimits
+from apricotlandingd.gateway.decisions import returndelays
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
@@ -134,8 +135,13 @@
         peers: Peers,
         rng: random.Random,
         limiter: ratelimits.RateLimiter | None = None,
+        return_way: str = returndelays.WAY,
     ) -> None:
-        """Create without requests; without ``limiter``, runners have none."""
+        """Create without requests; without ``limiter``, runners have none.
+
+        ``return_way`` names the way to choose when refused callers return.
+        """
+        self._return_way = return_way
         self._limiter = limiter or ratelimits.RateLimiter(
             statedlimits.StatedLimits(), lambda: 1.0
         )
@@ -433,8 +439,8 @@
                 ahead_here += request.queue_weight
                 continue
             left = request.ends_at - now
-            retry_after_s = queueing.choose_retry_delay(
-                min(wait, left), left, self._rng
+            retry_after_s = returndelays.choose_delay(
+                min(wait, left), left, self._rng, self._return_way
             )
             self.leave(request)
             eliot.log_message(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
@@ -16,6 +16,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import heldslots
 from apricotlandingd.gateway.decisions import queueing
+from apricotlandingd.gateway.decisions import queueorder
 from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.decisions import subsets
@@ -310,6 +311,7 @@
             last_part=wanted.last_part,
             tried={start for start in excluded if start is not None},
             queue_weight=1 / wanted.coordinators,
+            advance_s=queueorder.find_advance(wanted.prompt_tokens),
         )
 
     def _drop_silent(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/queueentries.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/queueentries.py
@@ -10,6 +10,7 @@
 
 from apricotlanding import ids
 from apricotlandingd.gateway.decisions import queueing
+from apricotlandingd.gateway.decisions import queueorder
 from apricotlandingd.gateway.requests import admission
 from apricotlandingd.gateway.requests import poolchoice
 from apricotlandingd.gateway.requests import sharedstate
@@ -69,6 +70,7 @@
         ),
         last_part=head.prefix[-1][0] if head.prefix else '',
         tried=progress.tried,
+        advance_s=queueorder.find_advance(head.prompt_tokens),
     )
 
 
