--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/decider.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/decider.py
@@ -157,7 +157,7 @@
         return self._stored is not None and self._stored.is_final
 
     def decide(self, runners: Runners, now: float) -> bool:
-        """Decide if it is due; return whether the step has changed."""
+        """Decide if it is due; return whether all hosts must know at once."""
         if now - self._judged_at < JUDGE_INTERVAL_S:
             return False
         if self.step.phase.is_final or not self._may_begin(now):
@@ -165,12 +165,12 @@
         self._judged_at = now
         progress = self._find_progress(runners, now)
         step = self._plan(progress, self._bounds)
-        if step == self.step:
-            return False
-        if step.phase is not self.step.phase:
+        before, self.step = self.step, step
+        if step.phase is not before.phase:
             self._log_step(step, progress, now)
-        self.step = step
-        return True
+            return True
+        # A larger share may wait for the next replies.
+        return step.sampling == 0 < before.sampling
 
     def find_elapsed(self, now: float) -> float:
         """Return the seconds since the order became known anywhere."""
