Complete a roll-out only when every live host has reported

Found on reading: the decider waited for the hosts that had reported to it. A host that serves callers and does not know the order yet (the store rejects it, and no peer has told it) was not waited for, and its requests at old runners would have been cut at the completion.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/decider.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/decider.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import collections.abc
 import dataclasses
 import typing as ty
 
@@ -130,15 +131,22 @@
             # Decided by the host that decided before.
             self._enter(rolloutplan.Step(report.phase), now)
 
-    def find_unstored(self, now: float) -> orders.Phase | None:
-        """Return the phase that is to be stored; None if there is none."""
+    def find_unstored(
+        self, live: collections.abc.Collection[ids.Host], now: float
+    ) -> orders.Phase | None:
+        """Return the phase that is to be stored; None if there is none.
+
+        ``live`` are the hosts that serve callers, as far as this one hears.
+        """
         if self.is_stored:
             return None
         if self.step.phase.is_final:
             return self.step.phase
         if self._stored is None:
             return orders.Phase.TRIAL
-        return orders.Phase.COMPLETED if self._is_closed(now) else None
+        if self._is_closed(live, now):
+            return orders.Phase.COMPLETED
+        return None
 
     def note_stored(
         self, status: orders.Status, now: float, wall: float
@@ -178,14 +186,23 @@
 
     # Internal.
 
-    def _is_closed(self, now: float) -> bool:
-        # No host has a request at an old runner any more.
+    def _is_closed(
+        self, live: collections.abc.Collection[ids.Host], now: float
+    ) -> bool:
+        # No host has a request at an old runner any more. One that has not
+        # reported may not know the order yet, and sends there.
         if self.step.phase is not orders.Phase.MOVING:
             return False
-        return all(
-            reporter.phase >= orders.Phase.MOVING and reporter.running_old == 0
+        recent = [
+            reporter
             for reporter in self.reporters.values()
             if now - reporter.heard_at <= REPORTER_TIMEOUT_S
+        ]
+        if not {reporter.host for reporter in recent}.issuperset(live):
+            return False
+        return all(
+            reporter.phase >= orders.Phase.MOVING and reporter.running_old == 0
+            for reporter in recent
         )
 
     def _may_begin(self, now: float) -> bool:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/rollouts.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/rollouts.py
@@ -381,7 +381,7 @@
 
     async def _store_status(self, found: decider.Decider) -> None:
         now = clocks.read_monotonic()
-        phase = found.find_unstored(now)
+        phase = found.find_unstored(self._hosts.list_coordinators(), now)
         if phase is None:
             return
         began_at = clocks.read_wall() - found.find_elapsed(now)
