Place requests where their answers are expected to end in time

A third of the model runners there take 4.4 times as long. Placement took the runner that would end first of those with a free slot, also if that was after the deadline; and a runner's speed was known only when its first answer had ended.

Ruled out: load (the first seconds have none), failing runners (the runs go on until they are cut).

Change: a request is not given a slot at a runner where its answer, taken to be 1.5 times as long as expected, would end after its deadline, as long as another runner of the service would do; it waits for that one, or is refused in useful time, and a shorter request takes the slot. Until an answer has ended at a runner, its time an event is the service's median times the ratio of first events.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/placement.py
@@ -3,6 +3,10 @@
 Of the runners with a free slot, the one that is expected to finish the request
 first is chosen, based on its measured speed, its prefix cache and its load.
 Failing runners are used only if no other has a free slot.
+
+A runner at which the answer is not expected to end before its caller's
+deadline is not used while another one of the service would do, also if that
+one has no free slot now: the request would hold the slot for nothing.
 """
 
 import dataclasses
@@ -14,7 +18,7 @@
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.runners import latency
 
-__all__ = ['Candidate', 'choose_runner']
+__all__ = ['Candidate', 'choose_runner', 'ends_in_time']
 
 # How much slower a full runner generates than one with a single request.
 FULL_LOAD_SLOWDOWN_RATIO = 0.25
@@ -27,6 +31,8 @@
 # choose the best runner, where prompts are read one after the other. The share
 # is small enough for speed and load to take precedence.
 PREFERRED_READ_SAVING_RATIO = 0.5
+# Answers are often longer than their callers expect.
+EXPECTED_EVENTS_RATIO = 1.5
 
 
 @ty.final
@@ -73,6 +79,16 @@
     )
 
 
+def ends_in_time(
+    request: queueing.QueuedRequest, candidate: Candidate, now: float
+) -> bool:
+    """Tell whether an answer that begins now should end in time."""
+    latency_s = candidate.latency
+    rest_s = latency_s.event_s * request.events * EXPECTED_EVENTS_RATIO
+    first_s = latency_s.predict_first_event(request.prompt_tokens)
+    return now + first_s + rest_s <= request.ends_at
+
+
 def _predict(
     request: queueing.QueuedRequest, candidate: Candidate, is_preferred: bool
 ) -> float:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -393,21 +393,55 @@
     def _choose(
         self, request: queueing.QueuedRequest, view: '_RunnerView', now: float
     ) -> placement.Candidate | None:
-        candidates = [
-            placement.Candidate(
-                runner=entry.start,
-                used=view.used[entry.start],
-                slots=entry.slots,
-                latency=self._latencies.find(entry.pool, entry.start),
-                is_avoided=entry.start in view.avoided,
-                has_cached_prefix=self._has_cached_prefix(
-                    request.last_part, entry.start, now
-                ),
-            )
-            for entry in view.entries
-            if view.free[entry.start] > 0
+        free: list[placement.Candidate] = []
+        busy: list[dialect.RunnerEntry] = []
+        for entry in view.entries:
+            if view.free[entry.start] <= 0:
+                busy.append(entry)
+                continue
+            free.append(self._make_candidate(request, entry, view, now))
+        timely = [
+            candidate
+            for candidate in free
+            if placement.ends_in_time(request, candidate, now)
         ]
-        return placement.choose_runner(request, candidates)
+        if timely or not self._is_timely_at_any(request, busy, view, now):
+            return placement.choose_runner(request, timely or free)
+        # It waits for one of them.
+        return None
+
+    def _is_timely_at_any(
+        self,
+        request: queueing.QueuedRequest,
+        entries: list[dialect.RunnerEntry],
+        view: '_RunnerView',
+        now: float,
+    ) -> bool:
+        for entry in entries:
+            if entry.start in request.tried or entry.start in view.avoided:
+                continue
+            candidate = self._make_candidate(request, entry, view, now)
+            if placement.ends_in_time(request, candidate, now):
+                return True
+        return False
+
+    def _make_candidate(
+        self,
+        request: queueing.QueuedRequest,
+        entry: dialect.RunnerEntry,
+        view: '_RunnerView',
+        now: float,
+    ) -> placement.Candidate:
+        return placement.Candidate(
+            runner=entry.start,
+            used=view.used[entry.start],
+            slots=entry.slots,
+            latency=self._latencies.find(entry.pool, entry.start),
+            is_avoided=entry.start in view.avoided,
+            has_cached_prefix=self._has_cached_prefix(
+                request.last_part, entry.start, now
+            ),
+        )
 
     def _has_cached_prefix(
         self, part: str, runner: ids.RunnerStart, now: float
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/latency.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/latency.py
@@ -4,7 +4,8 @@
 first event is modelled as a base time plus a time for each prompt token, the
 rest of the answer as a time for each event. All are learned for each runner
 as exponential moving averages. A runner that has not answered yet is given
-the median of its service.
+the median of its service. One of which no answer has ended yet is taken to
+generate events as much slower than the others as its first event came.
 """
 
 import dataclasses
@@ -28,6 +29,12 @@
 MIN_EVENTS = 5
 # Seconds that a request of a plain service takes, before any answer.
 DEFAULT_REQUEST_S = 0.1
+# Prompt for which the times to the first event of two runners are compared.
+COMPARED_PROMPT_TOKENS = 1000
+# Limits of the ratio that is taken from it: a single first event may have
+# waited for other prompts.
+MIN_SPEED_RATIO = 0.5
+MAX_SPEED_RATIO = 4.0
 
 
 @ty.final
@@ -42,6 +49,8 @@
     # Seconds for each event of the answer.
     event_s: float = DEFAULT_EVENT_S
     answers: int = 0
+    # Answers of which the time of events was measured.
+    ended_answers: int = 0
 
     def predict_first_event(self, prompt_tokens: int) -> float:
         """Return the predicted seconds to the first event."""
@@ -90,6 +99,7 @@
         if events < MIN_EVENTS:
             return
         latency = self._open(service, runner)
+        latency.ended_answers += 1
         latency.event_s = _update_average(
             latency.event_s, seconds / (events - 1)
         )
@@ -99,9 +109,11 @@
     ) -> LatencyEstimate:
         """Return a runner's latency, or the median of its service."""
         latency = self._latencies.get(runner)
-        if latency is not None and latency.answers > 0:
-            return latency
-        return self.find_median(service)
+        if latency is None or latency.answers == 0:
+            return self.find_median(service)
+        if latency.ended_answers == 0:
+            return self._estimate_events(service, latency)
+        return latency
 
     def find_median(self, service: ids.Pool) -> LatencyEstimate:
         """Return the median latency of a service's runners.
@@ -124,6 +136,16 @@
             event_s=statistics.median(latency.event_s for latency in known),
         )
 
+    def _estimate_events(
+        self, service: ids.Pool, latency: LatencyEstimate
+    ) -> LatencyEstimate:
+        median = self.find_median(service)
+        ratio = latency.predict_first_event(
+            COMPARED_PROMPT_TOKENS
+        ) / median.predict_first_event(COMPARED_PROMPT_TOKENS)
+        ratio = max(MIN_SPEED_RATIO, min(MAX_SPEED_RATIO, ratio))
+        return dataclasses.replace(latency, event_s=median.event_s * ratio)
+
     def retain_only(self, runners: set[ids.RunnerStart]) -> None:
         """Forget all other runners."""
         for runner in set(self._latencies) - runners:
--- a/tests/loadsimulation.py
+++ b/tests/loadsimulation.py
@@ -32,6 +32,9 @@
 PUMP_INTERVAL_S = 0.02
 SLOTS = 8
 SPREAD_OF_SIZES = 0.9
+# Spreads of the length of answers, and of what callers expect of it.
+SPREAD_OF_EVENTS = 0.4
+SPREAD_OF_EXPECTATIONS = 0.5
 # Shares of their worth that late answers have, and that a request costs which
 # is refused a second time.
 LATE_SHARE = 0.5
@@ -70,6 +73,8 @@
     seconds: float = 30.0
     # Longest wait, as a ratio to the objective.
     patience: float = 1.0
+    # Spread of the length of answers.
+    spread_of_events: float = SPREAD_OF_EVENTS
     # Ways to order the queue, and to choose when refused callers return.
     order: str = queueorder.WAY
     returns: str = returndelays.WAY
@@ -80,6 +85,7 @@
     kind: Kind
     prompt_tokens: int
     events: int
+    expected_events: float
     arrived_at: float
     worth: float
     has_returned: bool = False
@@ -93,7 +99,7 @@
     stalled_s: float = 0.0
 
 
-class _Alone:
+class Alone:
     """No other host asks."""
 
     class _All:
@@ -147,7 +153,7 @@
             runners,
             self.latencies,
             health.Health(),
-            _Alone(),
+            Alone(),
             self.rng,
             return_way=load.returns,
         )
@@ -180,10 +186,16 @@
             size = self.rng.lognormvariate(
                 -(SPREAD_OF_SIZES**2) / 2, SPREAD_OF_SIZES
             )
+            events = max(
+                1.0,
+                kind.events
+                * self.rng.lognormvariate(0, self.load.spread_of_events),
+            )
             caller = _Caller(
                 kind,
                 max(1, round(kind.prompt_tokens * size)),
-                max(1, round(kind.events * self.rng.lognormvariate(0, 0.4))),
+                round(events),
+                events * self.rng.lognormvariate(0, SPREAD_OF_EXPECTATIONS),
                 at,
                 kind.worth * min(4.0, 0.3 + 0.7 * size),
             )
@@ -207,7 +219,7 @@
             useful_until=min(deadline_at, self.now + patience_s) - first_s,
             ends_at=deadline_at,
             prompt_tokens=caller.prompt_tokens,
-            events=kind.events,
+            events=caller.expected_events,
             last_part='',
             advance_s=queueorder.find_way(self.load.order)(
                 caller.prompt_tokens
