Keep the older of two releases of one size; remove what nothing uses

Found on reading: a host that learned of as many new runners as old ones before it knew the order took the later name for the release in force. It takes the earlier one now. Participant.is_observed and Rollout.heard_at had no use.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
@@ -43,8 +43,6 @@
     # Share of the requests that a trial gets, and its number of runners.
     sampling: float = 0.0
     opened: int = 0
-    # When the decider was heard; None before.
-    heard_at: float | None = None
     # Until when the decider's last answer holds.
     valid_until: float = 0.0
     # Requests sent since the order, in all and to the new release.
@@ -176,7 +174,7 @@
             found = [item for item in known if item != excluded]
             if not found:
                 return base or ids.Release('')
-            base = max(found, key=lambda item: (known[item], item))
+            base = min(found, key=lambda item: (-known[item], item))
         self._bases[service] = base
         return base
 
@@ -230,8 +228,3 @@
             number,
         )
         rollout.counts[cell] = rollout.counts.get(cell, 0) + 1
-
-    def is_observed(self, service: ids.Pool) -> bool:
-        """Tell whether answers of a service are to be counted."""
-        rollout = self.rollouts.get(service)
-        return rollout is not None and not rollout.phase.is_final
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -123,6 +123,13 @@
         self.order()
         self.assertEqual(OLD, self.participant.find_base(SERVICE))
 
+    def test_host_that_starts_before_the_order_keeps_the_old_release(
+        self,
+    ) -> None:
+        """A host took the later of two releases of one size for the old."""
+        self.add_new(3)
+        self.assertEqual(OLD, self.participant.find_base(SERVICE))
+
     def test_later_order_replaces_an_earlier_one(self) -> None:
         """An order that arrived twice, or late, began again."""
         first = self.order(3)
