Look for a retry's place in the old release when a trial falls silent

Found on reading: an inactive runner is abandoned if another one has a free place, and that was asked of the pool in which the request had waited. A request on trial retries at the old release, so with all few new runners silent and full it was kept to its caller's deadline.

The new scene (one silent new runner, idempotent requests, three hosts) fails on the code before and passes after: every caller has its 200.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -411,7 +411,7 @@
                 continue
             now = clocks.read_monotonic()
             has_other = self._shared.dispatcher.has_place(
-                self._pool, self._tried, now
+                self._find_retry_pool(now), self._tried, now
             )
             if has_other and self._take_retry(now):
                 self._has_retry = True
@@ -428,6 +428,11 @@
             self._admission.service, self._shared.count_hosts(), now
         )
 
+    def _find_retry_pool(self, now: float) -> ids.Pool:
+        return self._shared.participant.choose_pool(
+            self._admission.service, self._admission.head.attempt, True, now
+        )
+
     def _may_abandon(self) -> bool:
         return (
             self._admission.route.is_repeatable()
