Move the reload of the settings out of the gateway's module

Nothing but the place changes: the watch reads the file on a signal or a new stamp, and the gateway applies what was read.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -65,6 +65,7 @@
 from apricotlandingd.gateway.process import operatorrecords
 from apricotlandingd.gateway.process import registrations
 from apricotlandingd.gateway.process import settings
+from apricotlandingd.gateway.process import settingswatch
 from apricotlandingd.gateway.process import stalls
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.replication import catchup
@@ -96,8 +97,6 @@
 MIN_PEER_PUMP_INTERVAL_S = 0.005
 # Interval between cleanups of connections, runners and peers that are gone.
 CLEANUP_INTERVAL_S = 0.5
-# Interval between checks of the settings file for changes.
-SETTINGS_INTERVAL_S = 1.0
 
 
 @ty.final
@@ -121,8 +120,6 @@
         self._settings = config
         self._dialect = platform_dialect
         self._store = store
-        self._reload = reload
-        self._read_stamp = read_stamp
         self._rng = random.Random()
         self._catalogue: catalogue.Catalogue | None = None
         self._is_stopping = False
@@ -135,6 +132,9 @@
         )
         self._telemetry = telemetry.MetricRegistry()
         self._input_errors = inputerrors.InputErrors(self._telemetry)
+        self._settings_watch = settingswatch.SettingsWatch(
+            reload, read_stamp, self._apply_settings, self._input_errors
+        )
         self._build_sharing()
         self._build_requests()
 
@@ -414,7 +414,7 @@
             if self._settings.has_rollouts:
                 tree.start('rollouts', self._rollouts.run)
             tree.start('signals', self._watch_signals)
-            tree.start('settings', self._watch_settings)
+            tree.start('settings', self._settings_watch.run)
             eliot.log_message('gateway:started', incarnation=self.incarnation)
             await self._stop_requested.wait()
             await self._drain()
@@ -613,36 +613,11 @@
         ) as received:
             async for number in received:
                 if number is signal.SIGHUP:
-                    self._read_settings()
+                    self._settings_watch.read()
                     continue
                 self.stop()
 
-    async def _watch_settings(self) -> None:
-        # The platform may write new settings without a signal. The first pass
-        # always reloads them: a change after the initial read, whose signal
-        # came before the handler was installed, would otherwise be lost.
-        known = None
-        while True:
-            await anyio.sleep(SETTINGS_INTERVAL_S)
-            stamp = self._read_stamp()
-            if stamp == known:
-                continue
-            known = stamp
-            self._read_settings()
-
-    def _read_settings(self) -> None:
-        try:
-            found = self._reload()
-        except Exception as error:
-            # The file is incomplete or invalid: the current settings stay in
-            # force.
-            self._input_errors.report(
-                inputerrors.Source.SETTINGS,
-                'reload',
-                str(error),
-                clocks.read_monotonic(),
-            )
-            return
+    def _apply_settings(self, found: settings.GatewaySettings) -> None:
         is_changed = found != self._settings
         for seed in found.seeds:
             self._mesh.probe_address(
