Read and log that runners leave, from their answers

Cause: the header is new, no module knew it, and the log said nothing of what a runner states about its end. So a statement that nobody reads cannot be told from one that is read late.

Change: the adapter reads it as a whole number from the head of every answer; anything else is counted as a malformed answer. gateway:runner_leaving says when a runner first said so; the metric leaving_runners counts them. An answer of another runner at the address (421) says nothing of the expected one. What the head of an answer says about its runner is noted in one place (note_head). Nothing is decided by it yet.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -89,6 +89,10 @@
     limit: float | None
     # It states a limit that cannot be read, so that the last one goes on.
     is_limit_unreadable: bool
+    # The runner leaves, and is to get no more requests.
+    is_leaving: bool
+    # It states whether it leaves, in a way that cannot be read.
+    is_leaving_unreadable: bool
     # Seconds after which the runner closes an idle connection.
     idle_s: float | None
     # Headers that are forwarded to the caller.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -82,6 +82,7 @@
 from apricotlandingd.gateway.requests import sharedstate
 from apricotlandingd.gateway.rollouts import rollouts
 from apricotlandingd.gateway.runners import crashes
+from apricotlandingd.gateway.runners import departures
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
@@ -225,6 +226,7 @@
         self._latencies = latency.LatencyEstimates()
         self._health = health.Health()
         self._limits = statedlimits.StatedLimits()
+        self._departures = departures.Departures()
         self._allowances = allowances.Allowances(
             bounds.quota_slack, self._mesh, now
         )
@@ -349,6 +351,7 @@
                 self._input_errors.report, inputerrors.Source.ANSWER
             ),
             routestats=routestats.RouteStats(),
+            departures=self._departures,
             limits=self._limits,
             limit_reports=self._limit_reports,
             participant=self._rollouts.participant,
@@ -377,6 +380,7 @@
             'blamed_contents': self._crash_reports.count_blamed,
             'rollouts_open': self._rollouts.count_open,
             'rollout_trial_requests': self._rollouts.count_trials,
+            'leaving_runners': self._departures.count,
             'limited_runners': lambda: len(self._limits.list_limited()),
             'stalls_total': lambda: self._stalls.count,
             'stalled_seconds_total': lambda: self._stalls.seconds,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -453,11 +453,7 @@
             answer.status, answer.headers
         )
         answer.idle_s = head.idle_s
-        if head.load is not None:
-            self._shared.dispatcher.note_load(
-                entry.start, head.load, clocks.read_monotonic()
-            )
-        self._notes.note_limit(entry, head, began_at)
+        self._notes.note_head(entry, head, began_at)
         if head.attempt and head.attempt != self._admission.head.attempt:
             # A late answer to another request on this connection.
             raise webclient.Broken('the answer names another attempt')
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
@@ -122,14 +122,44 @@
             entry, self._admission.route.name, number
         )
 
-    def note_limit(
+    def note_head(
         self,
         entry: dialect.RunnerEntry,
         head: dialect.AnswerHead,
         sent_at: float,
     ) -> None:
-        """Report the limit that an answer states, or that it states none."""
+        """Report what the head of an answer says about its runner.
+
+        ``sent_at`` is the time at which the request was sent.
+        """
         now = clocks.read_monotonic()
+        if head.load is not None:
+            self._shared.dispatcher.note_load(entry.start, head.load, now)
+        self._note_departure(entry, head, now)
+        self._note_limit(entry, head, sent_at, now)
+
+    def _note_departure(
+        self,
+        entry: dialect.RunnerEntry,
+        head: dialect.AnswerHead,
+        now: float,
+    ) -> None:
+        if head.is_leaving_unreadable:
+            self._shared.on_malformed_answer(
+                ids.parse_runner(entry.start),
+                'whether it leaves is no number; it counts as not stated',
+                now,
+            )
+        if head.is_leaving and not head.is_other_runner:
+            self._shared.departures.note(entry.start, now)
+
+    def _note_limit(
+        self,
+        entry: dialect.RunnerEntry,
+        head: dialect.AnswerHead,
+        sent_at: float,
+        now: float,
+    ) -> None:
         if head.is_limit_unreadable:
             self._shared.on_malformed_answer(
                 ids.parse_runner(entry.start),
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -20,6 +20,7 @@
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclient
 from apricotlandingd.gateway.rollouts import participant
+from apricotlandingd.gateway.runners import departures
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import statedlimits
@@ -53,6 +54,7 @@
     ]
     routestats: routestats.RouteStats
     crash_guard: crashguard.CrashGuard
+    departures: departures.Departures
     limits: statedlimits.StatedLimits
     limit_reports: limitmessages.LimitReports
     participant: participant.Participant
