Send nothing more to a runner that said it leaves

Cause: nothing read the header; the registration was the only word on a runner's end, and it comes through the store. The class: a statement that arrives with an answer and that no decision reads. Ruled out: a late reading (placements went on after the answer's end), and grants of other hosts (one group, waits of 0.5 ms).

Change: the directory closes a runner that says so until a later start of it registers, whatever its registration says. Just before sending, the place is looked at once more, as another host may have granted it; a host that asks a coordinator names the runner among those it must not be granted. The host that is told tells all others. Requests in progress go on.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -361,6 +361,14 @@
         view: '_RunnerView',
         now: float,
     ) -> None:
+        leaving = self._list_leaving(request.service, now)
+        if leaving:
+            eliot.log_message(
+                'gateway:leaving_detour',
+                attempt=request.attempt,
+                runner=ids.parse_runner(chosen),
+                leaving=leaving,
+            )
         limits = self._list_exhausted(view, now)
         if not limits:
             return
@@ -371,6 +379,18 @@
             limits=[limit._asdict() for limit in limits],
         )
 
+    def _list_leaving(
+        self, service: ids.Pool, now: float
+    ) -> list[dict[str, ty.Any]]:
+        return [
+            {
+                'runner': ids.parse_runner(start),
+                'reported_by': departure.reported_by,
+                'age_s': round(now - departure.at, 2),
+            }
+            for start, departure in self._runners.list_leaving(service)
+        ]
+
     def _list_exhausted(
         self, view: '_RunnerView', now: float
     ) -> list[ratelimits.Limit]:
@@ -492,6 +512,7 @@
                     limit._asdict()
                     for limit in self._list_exhausted(view, now)
                 ],
+                leaving=self._list_leaving(service, now),
             )
             request.decide(
                 queueing.Refusal(retry_after_s, wait, round(before))
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
@@ -487,6 +487,10 @@
             for entry in self._runners.list_open(ticket.service)
             if self._health.is_unreachable(entry.start, now)
         ]
+        # The coordinator may not know yet that they leave.
+        closed += [
+            start for start, _ in self._runners.list_leaving(ticket.service)
+        ]
         excluded = {
             messages.digest_start(start) for start in (*ticket.tried, *closed)
         }
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -52,6 +52,7 @@
 from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import coordinator
 from apricotlandingd.gateway.hosts import crashmessages
+from apricotlandingd.gateway.hosts import departuremessages
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import limitmessages
 from apricotlandingd.gateway.hosts import mesh
@@ -82,7 +83,6 @@
 from apricotlandingd.gateway.requests import sharedstate
 from apricotlandingd.gateway.rollouts import rollouts
 from apricotlandingd.gateway.runners import crashes
-from apricotlandingd.gateway.runners import departures
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
@@ -226,7 +226,6 @@
         self._latencies = latency.LatencyEstimates()
         self._health = health.Health()
         self._limits = statedlimits.StatedLimits()
-        self._departures = departures.Departures()
         self._allowances = allowances.Allowances(
             bounds.quota_slack, self._mesh, now
         )
@@ -313,6 +312,13 @@
             self._limits, startindex.StartIndex(self._directory), self._mesh
         )
         subscribe(limitmessages.LimitReport, self._limit_reports.handle_report)
+        self._departure_reports = departuremessages.DepartureReports(
+            config.host, self._directory, self._mesh
+        )
+        subscribe(
+            departuremessages.DepartureReport,
+            self._departure_reports.handle_report,
+        )
         self._mesh.on_new_process = self._greet
         self._crash_detector = crashes.CrashDetector(
             self._directory,
@@ -351,7 +357,7 @@
                 self._input_errors.report, inputerrors.Source.ANSWER
             ),
             routestats=routestats.RouteStats(),
-            departures=self._departures,
+            departure_reports=self._departure_reports,
             limits=self._limits,
             limit_reports=self._limit_reports,
             participant=self._rollouts.participant,
@@ -380,7 +386,7 @@
             'blamed_contents': self._crash_reports.count_blamed,
             'rollouts_open': self._rollouts.count_open,
             'rollout_trial_requests': self._rollouts.count_trials,
-            'leaving_runners': self._departures.count,
+            'leaving_runners': self._directory.departures.count,
             'limited_runners': lambda: len(self._limits.list_limited()),
             'stalls_total': lambda: self._stalls.count,
             'stalled_seconds_total': lambda: self._stalls.seconds,
@@ -557,6 +563,7 @@
     def _greet(self, host: ids.Host, now: float) -> None:
         self._crash_reports.greet(host, now)
         self._limit_reports.greet(host, now)
+        self._departure_reports.greet(host)
 
     # Runners.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -32,6 +32,7 @@
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.requests import admission
 from apricotlandingd.gateway.requests import inactivity
+from apricotlandingd.gateway.requests import poolchoice
 from apricotlandingd.gateway.requests import queueentries
 from apricotlandingd.gateway.requests import replies
 from apricotlandingd.gateway.requests import resultlog
@@ -242,11 +243,9 @@
             decision = await self._wait_for_place()
             if isinstance(decision, queueing.Refusal):
                 return decision
-            entry = self._shared.directory.find(decision.runner)
             now = clocks.read_monotonic()
-            if entry is None or self._shared.participant.may_use(entry, now):
+            if poolchoice.may_use(self._shared, decision.runner, now):
                 return decision
-            # The service has moved to another release meanwhile.
             self._release(decision)
 
     async def _wait_for_place(self) -> queueing.Grant | queueing.Refusal:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/poolchoice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/poolchoice.py
@@ -1,10 +1,10 @@
-"""Choice of the pool in which a request waits for a runner."""
+"""Choice of the pool and the runner that may be used for a request."""
 
 from apricotlanding import ids
 from apricotlandingd.gateway.requests import admission
 from apricotlandingd.gateway.requests import sharedstate
 
-__all__ = ['choose_pool']
+__all__ = ['choose_pool', 'may_use']
 
 
 def choose_pool(
@@ -29,3 +29,18 @@
     if shared.dispatcher.has_place(pool, tried, now):
         return pool
     return ids.make_pool(service, participant.find_base(service))
+
+
+def may_use(
+    shared: sharedstate.SharedState, runner: ids.RunnerStart, now: float
+) -> bool:
+    """Tell whether a runner that was granted may still be sent a request.
+
+    Since the grant it may have said that it leaves, or its service may have
+    moved to another release.
+    """
+    entry = shared.directory.find(runner)
+    if entry is None:
+        # Found when the request is sent.
+        return True
+    return not entry.is_draining and shared.participant.may_use(entry, now)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
@@ -151,7 +151,8 @@
                 now,
             )
         if head.is_leaving and not head.is_other_runner:
-            self._shared.departures.note(entry.start, now)
+            if self._shared.directory.note_leaving(entry.start, now):
+                self._shared.departure_reports.publish(entry.start)
 
     def _note_limit(
         self,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -12,6 +12,7 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import allowances
+from apricotlandingd.gateway.hosts import departuremessages
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import limitmessages
 from apricotlandingd.gateway.hosts import sharedallowances
@@ -20,7 +21,6 @@
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import runnerclient
 from apricotlandingd.gateway.rollouts import participant
-from apricotlandingd.gateway.runners import departures
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import statedlimits
@@ -54,7 +54,7 @@
     ]
     routestats: routestats.RouteStats
     crash_guard: crashguard.CrashGuard
-    departures: departures.Departures
+    departure_reports: departuremessages.DepartureReports
     limits: statedlimits.StatedLimits
     limit_reports: limitmessages.LimitReports
     participant: participant.Participant
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/departures.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/departures.py
@@ -58,6 +58,10 @@
         )
         return True
 
+    def list_starts(self) -> list[ids.RunnerStart]:
+        """Return the starts that said that they leave."""
+        return list(self._departures)
+
     def find(self, start: ids.RunnerStart) -> Departure | None:
         """Return the statement of a runner; None if it has made none."""
         return self._departures.get(start)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -13,6 +13,9 @@
 process that has ended, or make the new one appear to drain. So a registration
 with an earlier birth than the latest one is outdated, whatever its position
 in the records; the runner writes its own again with its next heartbeat.
+
+A runner that says in an answer that it leaves is closed at once, and stays so
+whatever its registration says: the store may be silent, or lag behind.
 """
 
 import collections
@@ -24,6 +27,7 @@
 
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.runners import departures
 
 __all__ = ['Directory', 'UpdateResult']
 
@@ -82,6 +86,9 @@
         self._removed: dict[ids.Runner, _Removed] = {}
         # Number of runners that are open, for pools where not all are.
         self._pool_limits: dict[ids.Pool, int] = {}
+        self.departures = departures.Departures()
+        # Runners that said that they leave, while they are registered as open.
+        self._leaving: set[ids.Runner] = set()
         self._outage_at: float | None = None
         self._return_at: float | None = None
         # Number of changes, for users that cache data derived from this.
@@ -119,10 +126,42 @@
             and registration.entry.start == entry.start
         )
         self._registrations[runner] = _Registration(entry)
+        self._close_leaving(runner)
         self._removed.pop(runner, None)
         self.changes += 1
         return UpdateResult.SAME if is_same else UpdateResult.START
 
+    def note_leaving(
+        self,
+        start: ids.RunnerStart,
+        now: float,
+        reported_by: ids.Host | None = None,
+    ) -> bool:
+        """Close a runner that says in an answer that it leaves.
+
+        ``reported_by`` is the host that it told, if it was not this one.
+        Returns whether the statement is the first one.
+        """
+        if not self.departures.note(start, now, reported_by):
+            return False
+        runner = ids.parse_runner(start)
+        if runner in self._registrations:
+            self._close_leaving(runner)
+            self.changes += 1
+        return True
+
+    def list_leaving(
+        self, pool: ids.Pool
+    ) -> list[tuple[ids.RunnerStart, departures.Departure]]:
+        """Return the runners of a pool that only their answers closed."""
+        found: list[tuple[ids.RunnerStart, departures.Departure]] = []
+        for runner in self._leaving:
+            entry = self._registrations[runner].entry
+            departure = self.departures.find(entry.start)
+            if entry.pool == pool and departure is not None:
+                found.append((entry.start, departure))
+        return found
+
     def remove(self, runner: ids.Runner, now: float) -> None:
         """Apply the removal of a registration."""
         registration = self._registrations.get(runner)
@@ -211,9 +250,19 @@
 
     def _drop(self, runner: ids.Runner, now: float) -> None:
         registration = self._registrations.pop(runner)
+        self._leaving.discard(runner)
         self._removed[runner] = _Removed(registration.entry.start, now)
         self.changes += 1
 
+    def _close_leaving(self, runner: ids.Runner) -> None:
+        registration = self._registrations[runner]
+        entry = registration.entry
+        if entry.is_draining or self.departures.find(entry.start) is None:
+            self._leaving.discard(runner)
+            return
+        registration.entry = dataclasses.replace(entry, is_draining=True)
+        self._leaving.add(runner)
+
     def _is_outdated(self, start: ids.RunnerStart) -> bool:
         runner = ids.parse_runner(start)
         registration = self._registrations.get(runner)
--- a/tests/placesimulation.py
+++ b/tests/placesimulation.py
@@ -21,6 +21,7 @@
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.hosts import candidates
 from apricotlandingd.gateway.hosts import coordinator
+from apricotlandingd.gateway.hosts import departuremessages
 from apricotlandingd.gateway.hosts import dispatch
 from apricotlandingd.gateway.hosts import groups
 from apricotlandingd.gateway.hosts import limitmessages
@@ -73,6 +74,8 @@
     limits: dict[int, float] = dataclasses.field(default_factory=dict)
     limits_from_s: float = 0.0
     limits_until_s: float = math.inf
+    # When these runners begin to say that they leave; they go on serving.
+    leaves_at_s: dict[int, float] = dataclasses.field(default_factory=dict)
     # Hosts form groups, and coordinators grant all places.
     has_groups: bool = True
 
@@ -94,6 +97,9 @@
     queued: int = 0
     # Requests that were sent to a crashed runner.
     failed_connections: int = 0
+    # Requests that reached a runner although their host had been told, before
+    # they came, that it leaves.
+    late_arrivals: int = 0
     messages: int = 0
 
     def find_refused_share(self) -> float:
@@ -150,6 +156,10 @@
         known = self._simulation.hosts.get(host)
         return None if known is None else known.address
 
+    def send_to_all(self, message: object, hosts: list[ids.Host]) -> None:
+        for host in hosts:
+            self.send(message, self._simulation.hosts[host].address)
+
     def send(self, message: object, address: addresses.Address) -> None:
         self._simulation.send(self._host, message, address)
 
@@ -160,12 +170,19 @@
 
     name: ids.Host
     address: addresses.Address
+    # The runners as this host knows them.
+    known: directory.Directory
     dispatcher: dispatch.Dispatcher
     own: coordinator.Coordinator
     # Its scheduler when it reaches no coordinator.
     local: scheduler.Scheduler
     limits: statedlimits.StatedLimits
     reports: limitmessages.LimitReports
+    departures: departuremessages.DepartureReports
+    # When runners told it that they leave.
+    told_at: dict[ids.RunnerStart, float] = dataclasses.field(
+        default_factory=dict
+    )
     is_up: bool = True
     # Hosts that it cannot exchange messages with.
     unreachable: set[ids.Host] = dataclasses.field(default_factory=set)
@@ -178,6 +195,7 @@
     hold: float
     # Requests a second that it states while limits are in force.
     limit: float | None = None
+    leaves_at: float = math.inf
     # When requests reached it.
     arrivals: list[float] = dataclasses.field(default_factory=list)
     # Accepts no connection.
@@ -207,7 +225,11 @@
             self.known.update(entry)
             is_slow = number % load.slow_every == 0
             hold = load.slow_hold_s if is_slow else load.fast_hold_s
-            self.runners[entry.start] = Runner(hold, load.limits.get(number))
+            self.runners[entry.start] = Runner(
+                hold,
+                load.limits.get(number),
+                load.leaves_at_s.get(number, math.inf),
+            )
         self.hosts: dict[ids.Host, Host] = {}
         for number in range(load.hosts):
             self.hosts[ids.Host(f'host-{number}')] = self.make_host(number)
@@ -226,10 +248,11 @@
         process = ids.Incarnation(f'{name}/1')
         latencies, fitness = latency.LatencyEstimates(), health.Health()
         limits = statedlimits.StatedLimits()
-        local = self.make_scheduler(latencies, fitness, limits)
+        known = self.make_directory()
+        local = self.make_scheduler(latencies, fitness, limits, known)
         own = coordinator.Coordinator(
             name,
-            self.known,
+            known,
             latencies,
             fitness,
             self.rng,
@@ -245,7 +268,7 @@
             process,
             local,
             own,
-            self.known,
+            known,
             latencies,
             fitness,
             hosts,
@@ -254,20 +277,39 @@
             limits,
         )
         reports = limitmessages.LimitReports(
-            limits, startindex.StartIndex(self.known), hosts
+            limits, startindex.StartIndex(known), hosts
+        )
+        departures = departuremessages.DepartureReports(name, known, hosts)
+        return Host(
+            name,
+            address,
+            known,
+            found,
+            own,
+            local,
+            limits,
+            reports,
+            departures,
         )
-        return Host(name, address, found, own, local, limits, reports)
+
+    def make_directory(self) -> directory.Directory:
+        """Return a directory of all runners."""
+        found = directory.Directory(2.0)
+        for entry in self.known.list_all():
+            found.update(entry)
+        return found
 
     def make_scheduler(
         self,
         latencies: latency.LatencyEstimates | None = None,
         fitness: health.Health | None = None,
         limits: statedlimits.StatedLimits | None = None,
+        known: directory.Directory | None = None,
     ) -> scheduler.Scheduler:
         """Return the scheduler of a host that reaches no coordinator."""
         count = max(1, round(self.load.hosts / PARTITION_HOSTS))
         return scheduler.Scheduler(
-            self.known,
+            known or self.known,
             latencies or latency.LatencyEstimates(),
             fitness or health.Health(),
             _NoPeers(count),
@@ -323,6 +365,8 @@
                 target.dispatcher.handle_request(found, self.now)
             elif isinstance(found, limitmessages.LimitReport):
                 target.reports.handle_report(found, self.now)
+            elif isinstance(found, departuremessages.DepartureReport):
+                target.departures.handle_report(found, self.now)
             else:
                 target.dispatcher.handle_reply(found, self.now)
 
@@ -382,10 +426,17 @@
         self, host: Host, grant: queueing.Grant, ticket: queueing.QueuedRequest
     ) -> None:
         runner = self.runners[grant.runner]
+        entry = host.known.find(grant.runner)
+        if entry is not None and entry.is_draining:
+            # It said so after the grant.
+            self.enter_again(host, grant, ticket)
+            return
         if runner.is_lost:
             self.retry_elsewhere(host, grant, ticket)
             return
         runner.arrivals.append(self.now)
+        if ticket.arrived_at > host.told_at.get(grant.runner, math.inf):
+            self.outcome.late_arrivals += 1
         if runner.running >= self.load.slots:
             self.outcome.queued += 1
             runner.queue.append((host, grant, self.now))
@@ -399,6 +450,13 @@
         self.outcome.failed_connections += 1
         seen = observations.Observation(observations.Kind.UNREACHABLE)
         host.dispatcher.note(gatewayparts.POOL, grant.runner, seen, self.now)
+        ticket.tried = {*ticket.tried, grant.runner}
+        self.enter_again(host, grant, ticket)
+
+    def enter_again(
+        self, host: Host, grant: queueing.Grant, ticket: queueing.QueuedRequest
+    ) -> None:
+        """Release a place that is not used, and ask for another one."""
         host.dispatcher.release(gatewayparts.POOL, grant, self.now)
         again = gatewayparts.make_queued_request(
             ticket.attempt,
@@ -407,11 +465,21 @@
             on_time_by=ticket.on_time_by,
             useful_until=ticket.useful_until,
             prompt_tokens=0,
-            tried={*ticket.tried, grant.runner},
+            tried=ticket.tried,
         )
         host.dispatcher.enter(again, self.now)
         self.poll_decision(host, again)
 
+    def state_departure(
+        self, runner: Runner, host: Host, start: ids.RunnerStart
+    ) -> None:
+        """Have a runner say that it leaves, as its answer begins."""
+        if self.now < runner.leaves_at:
+            return
+        host.told_at.setdefault(start, self.now)
+        if host.known.note_leaving(start, self.now):
+            host.departures.publish(start)
+
     def state_limit(
         self, runner: Runner, host: Host, grant: queueing.Grant, sent_at: float
     ) -> None:
@@ -443,6 +511,7 @@
     ) -> None:
         runner.running += 1
         self.state_limit(runner, host, grant, sent_at)
+        self.state_departure(runner, host, grant.runner)
         hold = runner.hold * self.rng.uniform(0.5, 1.5)
 
         def end() -> None:
