Read and log the rest that runners ask for

Cause: no module read Retry-After of a runner's 503, and the log did not say that a runner asked for rest, for how long and until when. So hosts that ignore it cannot be told from hosts that avoid the runner as a failing one.

Nothing is decided by it yet.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -93,6 +93,11 @@
     is_leaving: bool
     # It states whether it leaves, in a way that cannot be read.
     is_leaving_unreadable: bool
+    # Seconds for which the runner wants no requests of this host; None if it
+    # does not ask for rest.
+    rest_s: float | None
+    # It asks for rest, for a time that cannot be read.
+    is_rest_unreadable: bool
     # Seconds after which the runner closes an idle connection.
     idle_s: float | None
     # Headers that are forwarded to the caller.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -86,6 +86,7 @@
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
+from apricotlandingd.gateway.runners import rests
 from apricotlandingd.gateway.runners import startindex
 from apricotlandingd.gateway.runners import statedlimits
 
@@ -226,6 +227,7 @@
         self._latencies = latency.LatencyEstimates()
         self._health = health.Health()
         self._limits = statedlimits.StatedLimits()
+        self._rests = rests.Rests()
         self._allowances = allowances.Allowances(
             bounds.quota_slack, self._mesh, now
         )
@@ -358,6 +360,7 @@
             ),
             routestats=routestats.RouteStats(),
             departure_reports=self._departure_reports,
+            rests=self._rests,
             limits=self._limits,
             limit_reports=self._limit_reports,
             participant=self._rollouts.participant,
@@ -387,6 +390,9 @@
             'rollouts_open': self._rollouts.count_open,
             'rollout_trial_requests': self._rollouts.count_trials,
             'leaving_runners': self._directory.departures.count,
+            'resting_runners': lambda: self._rests.count(
+                clocks.read_monotonic()
+            ),
             'limited_runners': lambda: len(self._limits.list_limited()),
             'stalls_total': lambda: self._stalls.count,
             'stalled_seconds_total': lambda: self._stalls.seconds,
@@ -608,6 +614,7 @@
             self._directory.expire(now)
             entries = self._directory.list_all()
             known = {entry.start for entry in entries}
+            self._rests.expire(now)
             self._health.retain_only(known)
             self._limits.retain_only(known)
             self._crash_detector.retain_only(known)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
@@ -136,6 +136,7 @@
         if head.load is not None:
             self._shared.dispatcher.note_load(entry.start, head.load, now)
         self._note_departure(entry, head, now)
+        self._note_rest(entry, head, now)
         self._note_limit(entry, head, sent_at, now)
 
     def _note_departure(
@@ -154,6 +155,21 @@
             if self._shared.directory.note_leaving(entry.start, now):
                 self._shared.departure_reports.publish(entry.start)
 
+    def _note_rest(
+        self,
+        entry: dialect.RunnerEntry,
+        head: dialect.AnswerHead,
+        now: float,
+    ) -> None:
+        if head.is_rest_unreadable:
+            self._shared.on_malformed_answer(
+                ids.parse_runner(entry.start),
+                'the rest is no number of seconds; it counts as not asked',
+                now,
+            )
+        if head.rest_s is not None:
+            self._shared.rests.note(entry.start, head.rest_s, now)
+
     def _note_limit(
         self,
         entry: dialect.RunnerEntry,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -23,6 +23,7 @@
 from apricotlandingd.gateway.rollouts import participant
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import latency
+from apricotlandingd.gateway.runners import rests
 from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['SharedState']
@@ -55,6 +56,7 @@
     routestats: routestats.RouteStats
     crash_guard: crashguard.CrashGuard
     departure_reports: departuremessages.DepartureReports
+    rests: rests.Rests
     limits: statedlimits.StatedLimits
     limit_reports: limitmessages.LimitReports
     participant: participant.Participant
