Leave a runner alone for as long as it asks for rest

Cause: nothing read Retry-After of a runner's 503, and a runner that turns requests away at once always looks free. Ruled out: that hosts avoid it as a failing runner (no pauses in the arrivals), and repeats of the same requests (one send each).

Change: a host keeps the end of each rest it was asked for, which later answers can only put off. Its scheduler leaves the runner out until then; coordinators at other hosts get it named as excluded, and a place is looked at once more just before sending. Where only resting runners are left, a request waits if the rest ends in time, and is refused at once with the time that is left if not; a second send no longer waits for it past its deadline. The rest binds no other host.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -17,6 +17,7 @@
 import eliot
 
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import closedrunners
 from apricotlandingd.gateway.decisions import heldslots
 from apricotlandingd.gateway.decisions import placement
 from apricotlandingd.gateway.decisions import queueing
@@ -26,6 +27,7 @@
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
+from apricotlandingd.gateway.runners import rests
 from apricotlandingd.gateway.runners import statedlimits
 
 __all__ = ['Peers', 'RunnerFilter', 'Scheduler']
@@ -91,6 +93,8 @@
     """Snapshot of a service's runners for one scheduling pass."""
 
     entries: list[dialect.RunnerEntry]
+    # Runners that would be among them, had they not asked for rest.
+    resting: list[closedrunners.RestingRunner]
     # Slots in use by all hosts.
     used: dict[ids.RunnerStart, int]
     # Slots that may be granted now; negative where hosts together
@@ -136,12 +140,18 @@
         rng: random.Random,
         limiter: ratelimits.RateLimiter | None = None,
         return_way: str = returndelays.WAY,
+        closed: closedrunners.ClosedRunners | None = None,
     ) -> None:
         """Create without requests; without ``limiter``, runners have none.
 
+        ``closed`` are the runners that this host may not use; a scheduler for
+        other hosts has none that rest, as that concerns one host each.
         ``return_way`` names the way to choose when refused callers return.
         """
         self._return_way = return_way
+        self._closed = closed or closedrunners.ClosedRunners(
+            runners, rests.Rests()
+        )
         self._limiter = limiter or ratelimits.RateLimiter(
             statedlimits.StatedLimits(), lambda: 1.0
         )
@@ -276,10 +286,14 @@
             ),
             self._peers.list_waiting(service),
         )
-        entries = self._list_usable(service, now)
+        reachable = self._list_reachable(service, now)
+        resting = self._closed.list_resting(reachable, now)
+        starts = {item.entry.start for item in resting}
+        entries = [entry for entry in reachable if entry.start not in starts]
         used = {entry.start: self._count_used(entry, now) for entry in entries}
         view = _RunnerView(
             entries,
+            resting,
             used,
             {
                 entry.start: self._limit_free(entry, used[entry.start], now)
@@ -292,6 +306,15 @@
 
     def _list_usable(
         self, service: ids.Pool, now: float
+    ) -> list[dialect.RunnerEntry]:
+        return [
+            entry
+            for entry in self._list_reachable(service, now)
+            if not self._closed.is_resting(entry.start, now)
+        ]
+
+    def _list_reachable(
+        self, service: ids.Pool, now: float
     ) -> list[dialect.RunnerEntry]:
         return [
             entry
@@ -361,14 +384,7 @@
         view: '_RunnerView',
         now: float,
     ) -> None:
-        leaving = self._list_leaving(request.service, now)
-        if leaving:
-            eliot.log_message(
-                'gateway:leaving_detour',
-                attempt=request.attempt,
-                runner=ids.parse_runner(chosen),
-                leaving=leaving,
-            )
+        self._closed.log_detour(request, chosen, view.resting, now)
         limits = self._list_exhausted(view, now)
         if not limits:
             return
@@ -379,18 +395,6 @@
             limits=[limit._asdict() for limit in limits],
         )
 
-    def _list_leaving(
-        self, service: ids.Pool, now: float
-    ) -> list[dict[str, ty.Any]]:
-        return [
-            {
-                'runner': ids.parse_runner(start),
-                'reported_by': departure.reported_by,
-                'age_s': round(now - departure.at, 2),
-            }
-            for start, departure in self._runners.list_leaving(service)
-        ]
-
     def _list_exhausted(
         self, view: '_RunnerView', now: float
     ) -> list[ratelimits.Limit]:
@@ -478,9 +482,14 @@
     ) -> None:
         free = view.count_free_slots()
         hold = self.find_hold_time(service)
+        entries = view.entries
+        if not entries:
+            # Those that rest now are waited for.
+            entries = [item.entry for item in view.resting]
+            free = sum(self._count_free(entry, now) for entry in entries)
         total = sum(
             self._limiter.limit_slots(entry.start, entry.slots, hold)
-            for entry in view.entries
+            for entry in entries
         )
         # Requests of this host that come first. Rejected ones do not count.
         ahead_here = 0.0
@@ -489,6 +498,9 @@
                 continue
             before = ahead_here + ahead
             wait = queueing.predict_wait(before, free, total, hold)
+            wait += closedrunners.find_rest_wait(
+                request, view.entries, view.resting, now
+            )
             if not _is_too_late(request, wait, total, now):
                 ahead_here += request.queue_weight
                 continue
@@ -512,7 +524,8 @@
                     limit._asdict()
                     for limit in self._list_exhausted(view, now)
                 ],
-                leaving=self._list_leaving(service, now),
+                leaving=self._closed.describe_leaving(service, now),
+                resting=closedrunners.describe_resting(view.resting, now),
             )
             request.decide(
                 queueing.Refusal(retry_after_s, wait, round(before))
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/coordinator.py
@@ -282,6 +282,7 @@
             known = client.tickets.get(number)
             if known is not None:
                 known.queue_weight = 1 / wanted.coordinators
+                known.tried = self._find_excluded(wanted)
             if known is not None or number in client.held:
                 continue
             ticket = self._make_ticket(request, number, wanted, now)
@@ -296,7 +297,6 @@
         wanted: placemessages.Wanted,
         now: float,
     ) -> queueing.QueuedRequest:
-        excluded = (self._starts.find(item) for item in wanted.excluded)
         return queueing.QueuedRequest(
             attempt=f'{request.host}/{number}',
             service=request.service,
@@ -309,11 +309,17 @@
             prompt_tokens=wanted.prompt_tokens,
             events=wanted.events,
             last_part=wanted.last_part,
-            tried={start for start in excluded if start is not None},
+            tried=self._find_excluded(wanted),
             queue_weight=1 / wanted.coordinators,
             advance_s=queueorder.find_advance(wanted.prompt_tokens),
         )
 
+    def _find_excluded(
+        self, wanted: placemessages.Wanted
+    ) -> set[ids.RunnerStart]:
+        found = (self._starts.find(item) for item in wanted.excluded)
+        return {start for start in found if start is not None}
+
     def _drop_silent(
         self, schedule: _Schedule, subset: subsets.Subset, now: float
     ) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
@@ -20,6 +20,7 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import closedrunners
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.decisions import subsets
@@ -31,6 +32,7 @@
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import observations
+from apricotlandingd.gateway.runners import rests
 from apricotlandingd.gateway.runners import startindex
 from apricotlandingd.gateway.runners import statedlimits
 
@@ -103,11 +105,16 @@
         candidate_hosts: candidates.Candidates,
         rng: random.Random,
         limits: statedlimits.StatedLimits | None = None,
+        closed: closedrunners.ClosedRunners | None = None,
     ) -> None:
         """Start without requests.
 
-        ``own_coordinator`` serves the subsets that this host coordinates.
+        ``own_coordinator`` serves the subsets that this host coordinates;
+        ``closed`` are the runners that this host may not use now.
         """
+        self._closed = closed or closedrunners.ClosedRunners(
+            runners, rests.Rests()
+        )
         self._limits = limits or statedlimits.StatedLimits()
         self._host = host
         self._address = str(address)
@@ -138,7 +145,11 @@
     def enter(self, ticket: queueing.QueuedRequest, now: float) -> None:
         """Add a request that waits for a place; it may be decided at once."""
         found = self._list_subsets(ticket.service)
-        if not self._is_coordinated(ticket.service) or not found:
+        if (
+            not self._is_coordinated(ticket.service)
+            or not found
+            or self._closed.waits_for_rest(ticket, now)
+        ):
             self._local.enter(ticket, now)
             return
         self._place_count += 1
@@ -174,7 +185,8 @@
         if not self._is_coordinated(service):
             return self._local.has_free_slot(service, tried, now)
         if all(
-            entry.start in tried for entry in self._runners.list_open(service)
+            entry.start in tried or self._closed.is_resting(entry.start, now)
+            for entry in self._runners.list_open(service)
         ):
             return False
         heard = [
@@ -290,7 +302,7 @@
             self._ask_second(number, item, now)
         if item.is_local:
             return
-        if all(
+        if self._closed.waits_for_rest(item.ticket, now) or all(
             subset not in self._links
             or self._links[subset].silent_hosts >= candidates.MAX_SILENT_HOSTS
             for subset in item.asked
@@ -367,8 +379,13 @@
     ) -> None:
         item = self._waiting[number]
         entry = self._starts.find_entry(digest)
-        if entry is None or entry.is_draining:
-            # The coordinator's directory is older or newer than this host's.
+        if (
+            entry is None
+            or entry.is_draining
+            or self._closed.is_resting(entry.start, now)
+        ):
+            # The coordinator's directory is older or newer than this host's,
+            # or the runner has asked this host for rest.
             self._ask_again(number, item, digest, now)
             return
         self._withdraw(number, subset, now)
@@ -486,6 +503,7 @@
             entry.start
             for entry in self._runners.list_open(ticket.service)
             if self._health.is_unreachable(entry.start, now)
+            or self._closed.is_resting(entry.start, now)
         ]
         # The coordinator may not know yet that they leave.
         closed += [
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -44,6 +44,7 @@
 from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import closedrunners
 from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway import dialect
@@ -228,6 +229,9 @@
         self._health = health.Health()
         self._limits = statedlimits.StatedLimits()
         self._rests = rests.Rests()
+        self._closed = closedrunners.ClosedRunners(
+            self._directory, self._rests
+        )
         self._allowances = allowances.Allowances(
             bounds.quota_slack, self._mesh, now
         )
@@ -243,6 +247,7 @@
             ratelimits.RateLimiter(
                 self._limits, lambda: 1 / self._mesh.count_hosts()
             ),
+            closed=self._closed,
         )
         self._candidates = candidates.Candidates(config.host, self._mesh)
         self._dispatcher = dispatch.Dispatcher(
@@ -269,6 +274,7 @@
             self._candidates,
             self._rng,
             self._limits,
+            self._closed,
         )
         self._shared_allowances = sharedallowances.SharedAllowances(
             config.host,
@@ -361,6 +367,7 @@
             routestats=routestats.RouteStats(),
             departure_reports=self._departure_reports,
             rests=self._rests,
+            closed=self._closed,
             limits=self._limits,
             limit_reports=self._limit_reports,
             participant=self._rollouts.participant,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -183,8 +183,12 @@
                 return
             if not self._may_send_again(end, clocks.read_monotonic()):
                 break
+        now = clocks.read_monotonic()
+        rest_s = self._shared.closed.find_shortest_rest(self._pool, now)
         problem = errors.make_problem(
-            errors.Kind.NOT_TAKEN, admission.RETRY_AFTER_S, detail=self._detail
+            errors.Kind.NOT_TAKEN,
+            max(rest_s, admission.RETRY_AFTER_S),
+            detail=self._detail,
         )
         await self._give_up(problem)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/poolchoice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/poolchoice.py
@@ -36,11 +36,13 @@
 ) -> bool:
     """Tell whether a runner that was granted may still be sent a request.
 
-    Since the grant it may have said that it leaves, or its service may have
-    moved to another release.
+    Since the grant it may have said that it leaves, it may have asked for
+    rest, or its service may have moved to another release.
     """
     entry = shared.directory.find(runner)
     if entry is None:
         # Found when the request is sent.
         return True
-    return not entry.is_draining and shared.participant.may_use(entry, now)
+    if entry.is_draining or shared.closed.is_resting(runner, now):
+        return False
+    return shared.participant.may_use(entry, now)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -10,6 +10,7 @@
 from apricotlanding import ids
 from apricotlanding import retrybudget
 from apricotlandingd.gateway import catalogue
+from apricotlandingd.gateway.decisions import closedrunners
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import allowances
 from apricotlandingd.gateway.hosts import departuremessages
@@ -57,6 +58,7 @@
     crash_guard: crashguard.CrashGuard
     departure_reports: departuremessages.DepartureReports
     rests: rests.Rests
+    closed: closedrunners.ClosedRunners
     limits: statedlimits.StatedLimits
     limit_reports: limitmessages.LimitReports
     participant: participant.Participant
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/rests.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/rests.py
@@ -65,6 +65,10 @@
             return None
         return rest
 
+    def has_any(self) -> bool:
+        """Tell whether a runner may rest; a cheap check before others."""
+        return bool(self._rests)
+
     def count(self, now: float) -> int:
         """Return the number of runners that rest."""
         return sum(rest.ends_at > now for rest in self._rests.values())
--- a/tests/placesimulation.py
+++ b/tests/placesimulation.py
@@ -16,6 +16,7 @@
 
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlandingd.gateway.decisions import closedrunners
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway.decisions import scheduler
@@ -31,11 +32,12 @@
 from apricotlandingd.gateway.runners import health
 from apricotlandingd.gateway.runners import latency
 from apricotlandingd.gateway.runners import observations
+from apricotlandingd.gateway.runners import rests
 from apricotlandingd.gateway.runners import startindex
 from apricotlandingd.gateway.runners import statedlimits
 import gatewayparts
 
-__all__ = ['Load', 'Outcome', 'Simulation']
+__all__ = ['Load', 'NoPeers', 'Outcome', 'Simulation']
 
 # Seconds between two ticks of a host.
 TICK_INTERVAL_S = 0.02
@@ -76,6 +78,12 @@
     limits_until_s: float = math.inf
     # When these runners begin to say that they leave; they go on serving.
     leaves_at_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    # From and until when these runners turn all requests away, and for how
+    # many seconds they then ask the host for rest.
+    busy_s: dict[int, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
+    rest_s: float = 1.5
     # Hosts form groups, and coordinators grant all places.
     has_groups: bool = True
 
@@ -116,7 +124,7 @@
 
 
 @ty.final
-class _NoPeers:
+class NoPeers:
     """The peers of a host that shares no places: none are heard."""
 
     def __init__(self, count: int) -> None:
@@ -178,6 +186,7 @@
     local: scheduler.Scheduler
     limits: statedlimits.StatedLimits
     reports: limitmessages.LimitReports
+    rests: rests.Rests
     departures: departuremessages.DepartureReports
     # When runners told it that they leave.
     told_at: dict[ids.RunnerStart, float] = dataclasses.field(
@@ -196,6 +205,12 @@
     # Requests a second that it states while limits are in force.
     limit: float | None = None
     leaves_at: float = math.inf
+    # From and until when it turns requests away, and the times at which
+    # requests of each host reached it then.
+    busy: tuple[float, float] = (math.inf, math.inf)
+    turned_away: dict[ids.Host, list[float]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
     # When requests reached it.
     arrivals: list[float] = dataclasses.field(default_factory=list)
     # Accepts no connection.
@@ -229,6 +244,7 @@
                 hold,
                 load.limits.get(number),
                 load.leaves_at_s.get(number, math.inf),
+                load.busy_s.get(number, (math.inf, math.inf)),
             )
         self.hosts: dict[ids.Host, Host] = {}
         for number in range(load.hosts):
@@ -249,7 +265,9 @@
         latencies, fitness = latency.LatencyEstimates(), health.Health()
         limits = statedlimits.StatedLimits()
         known = self.make_directory()
-        local = self.make_scheduler(latencies, fitness, limits, known)
+        own_rests = rests.Rests()
+        closed = closedrunners.ClosedRunners(known, own_rests)
+        local = self.make_scheduler(latencies, fitness, limits, known, closed)
         own = coordinator.Coordinator(
             name,
             known,
@@ -275,6 +293,7 @@
             candidates.Candidates(name, hosts),
             self.rng,
             limits,
+            closed,
         )
         reports = limitmessages.LimitReports(
             limits, startindex.StartIndex(known), hosts
@@ -289,6 +308,7 @@
             local,
             limits,
             reports,
+            own_rests,
             departures,
         )
 
@@ -305,6 +325,7 @@
         fitness: health.Health | None = None,
         limits: statedlimits.StatedLimits | None = None,
         known: directory.Directory | None = None,
+        closed: closedrunners.ClosedRunners | None = None,
     ) -> scheduler.Scheduler:
         """Return the scheduler of a host that reaches no coordinator."""
         count = max(1, round(self.load.hosts / PARTITION_HOSTS))
@@ -312,12 +333,13 @@
             known or self.known,
             latencies or latency.LatencyEstimates(),
             fitness or health.Health(),
-            _NoPeers(count),
+            NoPeers(count),
             self.rng,
             ratelimits.RateLimiter(
                 limits or statedlimits.StatedLimits(),
                 lambda: 1 / self.load.hosts,
             ),
+            closed=closed,
         )
 
     # Events.
@@ -427,7 +449,9 @@
     ) -> None:
         runner = self.runners[grant.runner]
         entry = host.known.find(grant.runner)
-        if entry is not None and entry.is_draining:
+        if (entry is not None and entry.is_draining) or host.rests.find(
+            grant.runner, self.now
+        ):
             # It said so after the grant.
             self.enter_again(host, grant, ticket)
             return
@@ -435,6 +459,12 @@
             self.retry_elsewhere(host, grant, ticket)
             return
         runner.arrivals.append(self.now)
+        if runner.busy[0] <= self.now < runner.busy[1]:
+            runner.turned_away[host.name].append(self.now)
+            host.rests.note(grant.runner, self.load.rest_s, self.now)
+            ticket.tried = {*ticket.tried, grant.runner}
+            self.enter_again(host, grant, ticket)
+            return
         if ticket.arrived_at > host.told_at.get(grant.runner, math.inf):
             self.outcome.late_arrivals += 1
         if runner.running >= self.load.slots:
