Read and log the era of the store

Cause: the store states in all answers how often it has come back from a copy, no module read it, and the log could not tell a host that passes over records with offsets given out again from one that is not answered.

Nothing is decided by it yet.

--- a/packages/apricotlanding/src/apricotlanding/webclient.py
+++ b/packages/apricotlanding/src/apricotlanding/webclient.py
@@ -21,6 +21,7 @@
     'Broken',
     'Garbled',
     'NotSent',
+    'Reply',
     'Response',
     'WebClient',
     'WebError',
@@ -81,6 +82,14 @@
         return b''.join(parts)
 
 
+class Reply(ty.NamedTuple):
+    """A complete response; the names of headers are in lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
 @ty.final
 class WebClient:
     """Client of the server at one address."""
@@ -172,10 +181,27 @@
         limit: int = 64 * 1024 * 1024,
     ) -> tuple[int, bytes]:
         """Return status and body; raises NotSent or Broken."""
+        reply = await self.request(
+            method, path, headers, body, read_timeout, limit
+        )
+        return reply.status, reply.body
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b'',
+        read_timeout: float | None = None,
+        limit: int = 64 * 1024 * 1024,
+    ) -> Reply:
+        """Return a complete response; raises NotSent or Broken."""
         async with self.open(
             method, path, headers, body, read_timeout
         ) as response:
-            return response.status, await response.read(limit)
+            return Reply(
+                response.status, response.headers, await response.read(limit)
+            )
 
     async def call_json(
         self,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -156,6 +156,9 @@
     # Left out of ``records``. The next offset lies after them: a reader that
     # stopped at a corrupt record would never read another one.
     corrupt_records: tuple[CorruptRecord, ...] = ()
+    # Rises by one each time the store comes back from a copy, which gives
+    # offsets out again; None if the store did not state it.
+    era: int | None = None
 
 
 class Unreadable(ValueError):
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -76,6 +76,8 @@
         self._is_lost = False
         # A probe failed, so the store serves no host of the group.
         self._is_outage = False
+        # The era of the last answer that stated one.
+        self._era: int | None = None
         # The store has no record of the topic.
         self._is_empty = False
         # The last answer had records, which ended the reads of all hosts.
@@ -205,6 +207,7 @@
             await self._read_snapshot()
             return
         self._had_records = bool(batch.records or batch.corrupt_records)
+        self._note_era(batch)
         self._replica.apply(self._topic, batch, is_snapshot=False)
         answered_at = clocks.read_monotonic()
         if not self._had_records:
@@ -216,6 +219,7 @@
         started_at = clocks.read_monotonic()
         batch = await self._store.read_snapshot(self._topic)
         self._had_records = bool(batch.records or batch.corrupt_records)
+        self._note_era(batch)
         self._replica.apply(self._topic, batch, is_snapshot=True)
         # An empty topic is read by long poll from its start. Snapshots of it,
         # ten times a second, made up nearly a third of the calls on a day
@@ -223,6 +227,22 @@
         self._is_empty = batch.next_offset == 0
         self._freshness.record_answer(self._topic, started_at)
 
+    def _note_era(self, batch: dialect.Batch) -> None:
+        if batch.era is None or batch.era == self._era:
+            return
+        before, self._era = self._era, batch.era
+        if before is None:
+            return
+        eliot.log_message(
+            'gateway:store_era',
+            topic=self._topic,
+            era=batch.era,
+            before=before,
+            position=self._replica.positions[self._topic],
+            records=len(batch.records),
+            end_offset=batch.next_offset,
+        )
+
     # Outages.
 
     def _handle_failure(self, detail: str, now: float) -> None:
