Order records by the store's era before their offset

A store that comes back from a copy gives offsets out again, so records in place of lost ones were passed over. The class: an order that holds within one life of a service, used across two. Ruled out: a read that stays open by itself (it would end with the next answer).

Change: a position holds era and offset in one integer, in all that hosts keep and tell each other, so a host that is cut off learns of a new era as it learns of records. A reader that is answered in a later era, or told of one, reads the topic as a whole. What the copy holds and is older is not taken, by content: a lower version, a replaced order, a registration from before a runner drained; a runner that had been removed is closed for 6 s. Hosts write their own records again, deciders their statuses; a conditional append answered in another era counts as unanswered.

Weighed and not taken: to forget all and start anew; to compare contents alone.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -262,9 +262,9 @@
         """
 
     async def write_status(
-        self, service: ids.Pool, status: orders.Status, end_offset: int
+        self, service: ids.Pool, status: orders.Status, page: orders.StatusPage
     ) -> bool:
-        """Write a status if nothing was written since ``end_offset``.
+        """Write a status if nothing was written since a page was read.
 
         Returns whether it was written. Raises StoreUnavailable, in which case
         it may have been, or may be for as long as the condition holds.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -65,6 +65,7 @@
 from apricotlandingd.gateway.process import inputerrors
 from apricotlandingd.gateway.process import joining
 from apricotlandingd.gateway.process import operatorrecords
+from apricotlandingd.gateway.process import recordhandler
 from apricotlandingd.gateway.process import registrations
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import settingswatch
@@ -145,8 +146,6 @@
         config = self._settings
         self._directory = directory.Directory(config.bounds.drain_s)
         self._replica = records.Replica()
-        self._replica.add_observer(self._handle_record)
-        self._replica.on_corrupt_record = self._report_corrupt_record
         self._freshness = freshness.Freshness(
             self._replica, settings.find_topic_bounds(config.bounds)
         )
@@ -217,6 +216,16 @@
             self._apply_catalogue,
             self._rollouts.handle_order,
         )
+        recordhandler.RecordHandler(
+            self._operator_records,
+            self._registrations,
+            self._input_errors,
+            self._handle_change,
+            self._handle_new_era,
+        ).observe(self._replica)
+        self._publisher = joining.Publisher(
+            config.host, config.state, self._store, self._rng
+        )
         for message_type, handler in self._rollouts.list_handlers():
             self._mesh.subscribe(message_type, handler)
 
@@ -396,6 +405,7 @@
             'blamed_contents': self._crash_reports.count_blamed,
             'rollouts_open': self._rollouts.count_open,
             'rollout_trial_requests': self._rollouts.count_trials,
+            'store_era': self._replica.find_era,
             'leaving_runners': self._directory.departures.count,
             'resting_runners': lambda: self._rests.count(
                 clocks.read_monotonic()
@@ -423,7 +433,7 @@
             tree.start(
                 'join',
                 lambda: joining.join_hosts(
-                    self._settings,
+                    self._publisher,
                     self._store,
                     self._mesh,
                     self._allowances,
@@ -487,33 +497,18 @@
 
     # Records.
 
-    def _handle_record(
-        self, topic: dialect.Topic, record: dialect.Record
-    ) -> None:
-        now = clocks.read_monotonic()
-        if topic == dialect.CONFIG:
-            self._operator_records.handle_record(record, now)
-        else:
-            self._registrations.handle_record(record, now)
+    def _handle_change(self, now: float) -> None:
         self._scheduler.schedule_all(now)
         if self._mesh.has_multiple_groups():
             # Few hosts read the store; the others depend on peers' messages.
             self._mesh.request_update()
 
-    def _report_corrupt_record(
-        self, topic: dialect.Topic, corrupt_record: dialect.CorruptRecord
-    ) -> None:
-        position = (
-            ''
-            if corrupt_record.offset is None
-            else f' (offset {corrupt_record.offset})'
-        )
-        self._input_errors.report(
-            inputerrors.Source.RECORD,
-            topic,
-            f'{corrupt_record.detail}{position}',
-            clocks.read_monotonic(),
-        )
+    def _handle_new_era(self, topic: dialect.Topic, now: float) -> None:
+        if topic == dialect.RUNNERS:
+            self._directory.note_era(now)
+            self._publisher.request()
+        self._rollouts.note_era()
+        self._mesh.request_update()
 
     def _apply_catalogue(self, found: catalogue.Catalogue) -> None:
         self._catalogue = found
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/operatorrecords.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/operatorrecords.py
@@ -9,6 +9,7 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.process import inputerrors
+from apricotlandingd.gateway.replication import positions
 from apricotlandingd.gateway.rollouts import orders
 
 __all__ = ['OperatorRecords']
@@ -23,26 +24,32 @@
         platform_dialect: dialect.Dialect,
         input_errors: inputerrors.InputErrors,
         on_catalogue: collections.abc.Callable[[catalogue.Catalogue], None],
-        on_order: collections.abc.Callable[[orders.Order, float], None],
+        on_order: collections.abc.Callable[[orders.Order, float], bool],
     ) -> None:
-        """Start without a configuration."""
+        """Start without a configuration.
+
+        ``on_order`` returns whether an order is older than the known one.
+        """
         self._dialect = platform_dialect
         self._input_errors = input_errors
         self._on_catalogue = on_catalogue
         self._on_order = on_order
         self._version: ids.Version | None = None
 
-    def handle_record(self, record: dialect.Record, now: float) -> None:
-        """Apply the newest record of a key."""
+    def handle_record(self, record: dialect.Record, now: float) -> bool:
+        """Apply the newest record of a key.
+
+        Returns whether it states something older than what is in force.
+        """
         if record.value is None:
-            return
+            # What operators wrote stays in force.
+            return True
         try:
             order = self._dialect.decode_order(
                 record.key, record.offset, record.value
             )
             if order is not None:
-                self._on_order(order, now)
-                return
+                return self._on_order(order, now)
             found = self._dialect.decode_catalogue(record.value)
         except dialect.Unreadable as error:
             # The previous version or order stays in force: for callers that
@@ -50,13 +57,14 @@
             self._input_errors.report(
                 inputerrors.Source.CONFIGURATION, record.key, str(error), now
             )
-            return
+            return False
         if self._version is not None and found.version <= self._version:
-            return
+            return found.version < self._version
         self._version = found.version
         self._on_catalogue(found)
         eliot.log_message(
             'gateway:configuration',
             version=found.version,
-            offset=record.offset,
+            offset=positions.find_offset(record.offset),
         )
+        return False
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
@@ -9,6 +9,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.process import inputerrors
+from apricotlandingd.gateway.replication import positions
 from apricotlandingd.gateway.runners import directory
 
 __all__ = ['RegistrationHandler']
@@ -37,10 +38,14 @@
         self._on_start = on_start
         self._has_rollouts = has_rollouts
 
-    def handle_record(self, record: dialect.Record, now: float) -> None:
-        """Apply the newest record of a runner."""
+    def handle_record(self, record: dialect.Record, now: float) -> bool:
+        """Apply the newest record of a runner.
+
+        Returns whether it states something older than what is known.
+        """
         runner = ids.Runner(record.key)
         birth: int | None = None
+        is_older = False
         if record.value is None:
             self._directory.remove(runner, now)
             state = 'removed'
@@ -49,17 +54,24 @@
                 entry = self._dialect.decode_runner(runner, record.value)
             except dialect.Unreadable as error:
                 self._retract(runner, str(error), now)
-                return
+                return False
             if not self._has_rollouts:
                 entry = dataclasses.replace(entry, release=ids.Release(''))
             birth = ids.parse_start_time(entry.start)
             state = 'draining' if entry.is_draining else 'open'
-            result = self._directory.update(entry)
+            if self._directory.is_registered_as(entry):
+                # Read again as it was known.
+                return False
+            result = self._directory.update(entry, now)
             if result is directory.UpdateResult.START:
                 self._on_start(entry.start)
             elif result is directory.UpdateResult.OUTDATED:
                 state = 'outdated'
-        _log_runner(runner, state, birth, record.offset)
+                is_older = True
+            elif result is directory.UpdateResult.RESTORED:
+                state = 'restored'
+        _log_runner(runner, state, birth, positions.find_offset(record.offset))
+        return is_older
 
     def _retract(self, runner: ids.Runner, detail: str, now: float) -> None:
         # The newest entry counts, and it names no usable runner. With the
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/records.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/records.py
@@ -6,17 +6,25 @@
 still reads the store; and in a large system only some hosts read the store,
 and the others get records from them.
 
-A record is applied only if its offset is higher than that of the record it
-replaces, so neither a stale read nor a peer that is behind can restore an old
-value.
+A record is applied only if its position (``positions``) is after that of the
+record it replaces, so neither a stale read nor a peer that is behind can
+restore an old value.
+
+When the store comes back from a copy, the whole topic is read again. What it
+holds then may be older than what is known here, although its position is
+later: observers tell so from the content, and the known value stands in its
+place, for this host and for those that get records from it.
 """
 
 import collections.abc
+import dataclasses
 import typing as ty
 
 import anyio
+import eliot
 
 from apricotlandingd.gateway import dialect
+from apricotlandingd.gateway.replication import positions
 
 __all__ = [
     'TOPICS',
@@ -27,14 +35,15 @@
     'list_positions',
 ]
 
-# Next offset of each topic; all records before it are known.
+# Position of the next record of each topic; all before it are known.
 Positions = dict[dialect.Topic, int]
 TOPICS: ty.Final = (dialect.CONFIG, dialect.RUNNERS)
 # Removed keys whose offsets are kept, so that a peer that is behind cannot
 # restore them.
 MAX_REMOVED_KEYS = 2000
 
-Observer = collections.abc.Callable[[dialect.Topic, dialect.Record], None]
+# Returns whether the record states something older than what is known.
+Observer = collections.abc.Callable[[dialect.Topic, dialect.Record], bool]
 CorruptRecordObserver = collections.abc.Callable[
     [dialect.Topic, dialect.CorruptRecord], None
 ]
@@ -57,6 +66,11 @@
         self.on_corrupt_record: CorruptRecordObserver = (
             lambda topic, corrupt_record: None
         )
+        # Called with the topic before the first records of a new era are
+        # applied. Set by the gateway.
+        self.on_new_era: collections.abc.Callable[[dialect.Topic], None] = (
+            lambda topic: None
+        )
         self.changed = anyio.Event()
 
     def add_observer(self, observer: Observer) -> None:
@@ -68,20 +82,27 @@
     ) -> None:
         """Apply a batch that follows the known records, or a snapshot.
 
-        A snapshot holds every key of the topic: a known key that it lacks was
-        removed, unless its record is newer than the snapshot.
+        Its offsets are positions. A snapshot holds every key of the topic: a
+        known key that it lacks was removed, unless its record is newer than
+        the snapshot.
         """
+        era = positions.find_era(batch.next_offset)
+        self._enter_era(topic, batch)
         for record in batch.records:
-            self._apply_record(topic, record)
+            self._apply_record(topic, record, era)
         for corrupt_record in batch.corrupt_records:
             self.on_corrupt_record(topic, corrupt_record)
         if is_snapshot:
-            self._remove_missing(topic, batch)
+            self._remove_missing(topic, batch, era)
         if batch.next_offset > self.positions[topic]:
             self.positions[topic] = batch.next_offset
             self.changed.set()
             self.changed = anyio.Event()
 
+    def find_era(self) -> int:
+        """Return the latest era that a topic was read in."""
+        return max(positions.find_era(at) for at in self.positions.values())
+
     def list_since(self, topic: dialect.Topic, offset: int) -> dialect.Batch:
         """Return the records at or after an offset."""
         found = [
@@ -93,18 +114,41 @@
         return dialect.Batch(tuple(found), self.positions[topic])
 
     def _apply_record(
-        self, topic: dialect.Topic, record: dialect.Record
+        self, topic: dialect.Topic, record: dialect.Record, era: int
     ) -> None:
         known = self._records[topic].get(record.key)
         if known is not None and record.offset <= known.offset:
             return
         self._records[topic][record.key] = record
         self._prune_removed(topic)
+        is_older = False
         for observer in self._observers:
-            observer(topic, record)
+            is_older |= observer(topic, record)
+        if known is None or era <= positions.find_era(known.offset):
+            return
+        if is_older:
+            self._records[topic][record.key] = dataclasses.replace(
+                record, value=known.value
+            )
+
+    def _enter_era(self, topic: dialect.Topic, batch: dialect.Batch) -> None:
+        before = self.positions[topic]
+        era = positions.find_era(batch.next_offset)
+        if before == 0 or era <= positions.find_era(before):
+            return
+        eliot.log_message(
+            'gateway:store_era',
+            topic=topic,
+            era=era,
+            before=positions.find_era(before),
+            position=positions.find_offset(before),
+            records=len(batch.records),
+            end_offset=positions.find_offset(batch.next_offset),
+        )
+        self.on_new_era(topic)
 
     def _remove_missing(
-        self, topic: dialect.Topic, batch: dialect.Batch
+        self, topic: dialect.Topic, batch: dialect.Batch, era: int
     ) -> None:
         present = {record.key for record in batch.records}
         for key, known in list(self._records[topic].items()):
@@ -114,7 +158,7 @@
                 continue
             removal = dialect.Record(key, batch.next_offset - 1, None)
             if removal.offset > known.offset:
-                self._apply_record(topic, removal)
+                self._apply_record(topic, removal, era)
 
     def _prune_removed(self, topic: dialect.Topic) -> None:
         removed = [
@@ -144,4 +188,4 @@
 
 def has_all_topics(own: Positions) -> bool:
     """Tell whether every topic has been read."""
-    return all(own[topic] > 0 for topic in TOPICS)
+    return all(positions.find_offset(own[topic]) > 0 for topic in TOPICS)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -6,6 +6,10 @@
 store: it reads without a wait, repeatedly, until the store answers it or a
 peer. Probes overlap, so a lost one does not delay the next, and a slow store
 has time to answer each of them.
+
+A store that comes back from a copy states a new era. Its offsets are those of
+other records then, so the topic is read again as a whole, whatever the offset
+of this host: before, at or after the log's end.
 """
 
 import collections.abc
@@ -18,6 +22,7 @@
 from apricotlanding import clocks
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.replication import freshness
+from apricotlandingd.gateway.replication import positions
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import timing
 
@@ -76,8 +81,6 @@
         self._is_lost = False
         # A probe failed, so the store serves no host of the group.
         self._is_outage = False
-        # The era of the last answer that stated one.
-        self._era: int | None = None
         # The store has no record of the topic.
         self._is_empty = False
         # The last answer had records, which ended the reads of all hosts.
@@ -98,8 +101,12 @@
     # Long polls.
 
     async def _follow(self, readers: freshness.Readers) -> None:
+        if self._is_era_over():
+            await self._long_poll(0.0)
+            return
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_due, group.cancel_scope)
+            group.start_soon(self._watch_era, group.cancel_scope)
             await self._long_poll(self._find_wait(readers))
             group.cancel_scope.cancel()
 
@@ -149,6 +156,18 @@
                 return
             await anyio.sleep(max(MIN_DUE_CHECK_INTERVAL_S, due - now))
 
+    async def _watch_era(self, scope: anyio.CancelScope) -> None:
+        # A read that was sent in an earlier era waits for other records.
+        while not self._is_era_over():
+            await self._replica.changed.wait()
+        scope.cancel()
+
+    def _is_era_over(self) -> bool:
+        # Another topic, or a peer, has told of a later era.
+        position = self._replica.positions[self._topic]
+        era = positions.find_era(position)
+        return position > 0 and self._replica.find_era() > era
+
     # Probes.
 
     def _is_due(self, readers: freshness.Readers) -> bool:
@@ -194,21 +213,26 @@
 
     async def _read(self, wait_s: float) -> None:
         position = self._replica.positions[self._topic]
-        if position == 0 and not self._is_empty:
+        if (position == 0 and not self._is_empty) or self._is_era_over():
             await self._read_snapshot()
             return
         started_at = clocks.read_monotonic()
+        offset = positions.find_offset(position)
         try:
-            batch = await self._store.read_from(self._topic, position, wait_s)
+            batch = await self._store.read_from(self._topic, offset, wait_s)
         except dialect.HistoryGone:
             eliot.log_message(
-                'gateway:history_gone', topic=self._topic, offset=position
+                'gateway:history_gone', topic=self._topic, offset=offset
             )
             await self._read_snapshot()
             return
+        era = self._check_era(batch)
+        if era > positions.find_era(position):
+            await self._read_snapshot()
+            return
         self._had_records = bool(batch.records or batch.corrupt_records)
-        self._note_era(batch)
-        self._replica.apply(self._topic, batch, is_snapshot=False)
+        placed = positions.place_batch(batch, era)
+        self._replica.apply(self._topic, placed, is_snapshot=False)
         answered_at = clocks.read_monotonic()
         if not self._had_records:
             # The answer may have been delayed in transit.
@@ -218,30 +242,27 @@
     async def _read_snapshot(self) -> None:
         started_at = clocks.read_monotonic()
         batch = await self._store.read_snapshot(self._topic)
+        era = self._check_era(batch)
         self._had_records = bool(batch.records or batch.corrupt_records)
-        self._note_era(batch)
-        self._replica.apply(self._topic, batch, is_snapshot=True)
+        placed = positions.place_batch(batch, era)
+        self._replica.apply(self._topic, placed, is_snapshot=True)
         # An empty topic is read by long poll from its start. Snapshots of it,
         # ten times a second, made up nearly a third of the calls on a day
         # with little traffic.
         self._is_empty = batch.next_offset == 0
         self._freshness.record_answer(self._topic, started_at)
 
-    def _note_era(self, batch: dialect.Batch) -> None:
-        if batch.era is None or batch.era == self._era:
-            return
-        before, self._era = self._era, batch.era
-        if before is None:
-            return
-        eliot.log_message(
-            'gateway:store_era',
-            topic=self._topic,
-            era=batch.era,
-            before=before,
-            position=self._replica.positions[self._topic],
-            records=len(batch.records),
-            end_offset=batch.next_offset,
-        )
+    def _check_era(self, batch: dialect.Batch) -> int:
+        # Compared with what is known after the read: a peer may have told of
+        # a new era meanwhile.
+        known = positions.find_era(self._replica.positions[self._topic])
+        if batch.era is None:
+            return known
+        if batch.era < known:
+            raise dialect.StoreUnavailable(
+                f'an answer of era {batch.era}, after one of era {known}'
+            )
+        return batch.era
 
     # Outages.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/decider.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/decider.py
@@ -131,6 +131,15 @@
             # Decided by the host that decided before.
             self._enter(rolloutplan.Step(report.phase), now)
 
+    def restate(self, order: orders.Order) -> None:
+        """Go on with the same order, read at another position."""
+        self.order = order
+        self.forget_stored()
+
+    def forget_stored(self) -> None:
+        """Forget what the store says: it may have lost it."""
+        self._stored = None
+
     def find_unstored(
         self, live: collections.abc.Collection[ids.Host], now: float
     ) -> orders.Phase | None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/orders.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/orders.py
@@ -36,9 +36,16 @@
     release: ids.Release
     # Seconds within which the roll-out is to end.
     duration_s: float
-    # Offset of the order's record: a later order replaces an earlier one.
+    # Position of the order's record: a later order replaces an earlier one.
     offset: int
 
+    def is_same_as(self, other: 'Order') -> bool:
+        """Tell whether another record states the same order."""
+        return (
+            self.release == other.release
+            and self.duration_s == other.duration_s
+        )
+
 
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,3 +75,5 @@
     end_offset: int
     # None if there is none, or if it cannot be read.
     status: Status | None
+    # Era of the store; None if it did not state it.
+    era: int | None = None
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
@@ -11,6 +11,7 @@
 
 import collections
 import dataclasses
+import enum
 import typing as ty
 
 import xxhash
@@ -19,10 +20,27 @@
 from apricotlandingd.gateway.decisions import evidence
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import messages
+from apricotlandingd.gateway.replication import positions
 from apricotlandingd.gateway.rollouts import orders
 from apricotlandingd.gateway.runners import directory
 
-__all__ = ['Participant', 'Rollout', 'digest_route']
+__all__ = ['Change', 'Participant', 'Rollout', 'digest_route']
+
+
+# Orders of a service that are remembered after later ones replaced them.
+MAX_REPLACED_ORDERS = 8
+
+
+class Change(enum.Enum):
+    """What a record of an order changes."""
+
+    NONE = 'none'
+    # There is another order to follow.
+    NEW = 'new'
+    # The known order is read again, at another position.
+    RESTATED = 'restated'
+    # It has been replaced by the known one.
+    OLDER = 'older'
 
 
 def digest_route(name: ids.Route) -> int:
@@ -73,6 +91,8 @@
         self._runners = runners
         self._has_rollouts = has_rollouts
         self.rollouts: dict[ids.Pool, Rollout] = {}
+        # Orders that were replaced by later ones.
+        self._replaced: dict[ids.Pool, list[orders.Order]] = {}
         # Requests in progress, by pool.
         self.running: collections.Counter[ids.Pool] = collections.Counter()
         # The release that each service ran last.
@@ -81,15 +101,32 @@
         self._releases: dict[ids.Pool, collections.Counter[ids.Release]] = {}
         self._releases_at = -1
 
-    def follow(self, order: orders.Order, now: float) -> bool:
-        """Follow an order; return whether it is newer than the known one."""
+    def follow(self, order: orders.Order, now: float) -> Change:
+        """Follow an order, unless it is not newer than the known one.
+
+        After the store came back from a copy, the known order may be read
+        again at another position, or one that it has replaced.
+        """
         if not self._has_rollouts:
-            return False
-        known = self.rollouts.get(order.service)
-        if known is not None and known.order.offset >= order.offset:
-            return False
+            return Change.NONE
+        rollout = self.rollouts.get(order.service)
+        if rollout is None:
+            self.rollouts[order.service] = Rollout(order, now)
+            return Change.NEW
+        known = rollout.order
+        if known.offset >= order.offset:
+            return Change.NONE
+        replaced = self._replaced.setdefault(order.service, [])
+        if positions.find_era(order.offset) > positions.find_era(known.offset):
+            if order.is_same_as(known):
+                rollout.order = order
+                return Change.RESTATED
+            if any(order.is_same_as(earlier) for earlier in replaced):
+                return Change.OLDER
+        replaced.append(known)
+        del replaced[:-MAX_REPLACED_ORDERS]
         self.rollouts[order.service] = Rollout(order, now)
-        return True
+        return Change.NEW
 
     # Pools.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/rollouts.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/rollouts.py
@@ -109,10 +109,21 @@
             rollout.sent_new for rollout in self.participant.rollouts.values()
         )
 
-    def handle_order(self, order: orders.Order, now: float) -> None:
-        """Handle an operator's order."""
-        if not self.participant.follow(order, now):
-            return
+    def note_era(self) -> None:
+        """Read and write the statuses again: the store may have lost them."""
+        for found in self._deciders.values():
+            found.forget_stored()
+        self._store_requested.set()
+
+    def handle_order(self, order: orders.Order, now: float) -> bool:
+        """Handle an operator's order; return whether it is an older one."""
+        change = self.participant.follow(order, now)
+        if change is participant.Change.RESTATED:
+            found = self._deciders.get(order.service)
+            if found is not None:
+                found.restate(order)
+        if change is not participant.Change.NEW:
+            return change is participant.Change.OLDER
         self._links[order.service] = _Link(self._choose(order.service, now))
         self._deciders.pop(order.service, None)
         eliot.log_message(
@@ -123,6 +134,7 @@
             offset=order.offset,
             base=self.participant.find_base(order.service),
         )
+        return False
 
     # Reports and replies.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/statuswriter.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/statuswriter.py
@@ -60,7 +60,7 @@
             return None
         status = orders.Status(order.release, phase, order.offset, began_at)
         is_written = await self._store.write_status(
-            order.service, status, page.end_offset
+            order.service, status, page
         )
         eliot.log_message(
             'gateway:rollout_status',
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -14,6 +14,12 @@
 with an earlier birth than the latest one is outdated, whatever its position
 in the records; the runner writes its own again with its next heartbeat.
 
+A store that comes back from a copy (``note_era``) may lack registrations,
+which are kept as after an outage, and may hold ones that were replaced or
+removed since. A runner that drains does not open again, so such a
+registration is outdated. One that was removed may be that of a process that
+has ended: it is closed until it would have lapsed.
+
 A runner that says in an answer that it leaves is closed at once, and stays so
 whatever its registration says: the store may be silent, or lag behind.
 """
@@ -37,9 +43,13 @@
 # A runner is dropped this long before its drain time ends, so that requests
 # sent just before arrive in time.
 DRAIN_MARGIN_S = 0.5
-# How long the birth of a removed runner is kept: longer than the few seconds
-# that the store may take to carry out a write of an earlier start.
-BIRTH_RETENTION_S = 15.0
+# How long a removed runner is remembered: longer than the few seconds that the
+# store may take to carry out a write of an earlier start, and than the age of
+# a copy that it comes back from, its absence included.
+REMOVED_RETENTION_S = 120.0
+# How long a registration that had been removed is closed when a copy brings it
+# back: registrations lapse after three heartbeats of some 1.2 s.
+RESTORED_HOLD_S = 6.0
 
 
 class UpdateResult(enum.Enum):
@@ -49,24 +59,33 @@
     SAME = 'same'
     # A new one; the known one, if any, has ended.
     START = 'start'
-    # One before the known one: the registration was ignored.
+    # One before the known one, or an older one of the known start: the
+    # registration was ignored.
     OUTDATED = 'outdated'
+    # One that had been removed; it is closed for some time.
+    RESTORED = 'restored'
 
 
 @ty.final
 @dataclasses.dataclass(slots=True)
 class _Registration:
     entry: dialect.RunnerEntry
+    # Number of the store's returns from a copy before it was read.
+    era: int
     # When the registration disappeared; None while it is in force.
     removed_at: float | None = None
+    # What it is registered as if it is closed until a time, and that time.
+    held: dialect.RunnerEntry | None = None
+    held_until: float = 0.0
 
 
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Removed:
-    # The last start of a runner, and when it was dropped.
+    # The last start of a runner, when it was dropped, and in which era.
     start: ids.RunnerStart
     at: float
+    era: int
 
 
 @ty.final
@@ -89,6 +108,8 @@
         self.departures = departures.Departures()
         # Runners that said that they leave, while they are registered as open.
         self._leaving: set[ids.Runner] = set()
+        # Returns of the store from a copy.
+        self._era = 0
         self._outage_at: float | None = None
         self._return_at: float | None = None
         # Number of changes, for users that cache data derived from this.
@@ -107,7 +128,14 @@
         self.note_outage(now)
         self._return_at = now
 
-    def update(self, entry: dialect.RunnerEntry) -> UpdateResult:
+    def note_era(self, now: float) -> None:
+        """Note that the store has come back from a copy."""
+        self._era += 1
+        self.note_return(now)
+
+    def update(
+        self, entry: dialect.RunnerEntry, now: float = 0.0
+    ) -> UpdateResult:
         """Apply a new or changed registration.
 
         One that states no birth is taken to be of the known start.
@@ -125,10 +153,24 @@
             registration is not None
             and registration.entry.start == entry.start
         )
-        self._registrations[runner] = _Registration(entry)
+        if (
+            is_same
+            and registration is not None
+            and self._has_reopened(registration, entry)
+        ):
+            registration.era = self._era
+            return UpdateResult.OUTDATED
+        removed = self._removed.pop(runner, None)
+        self._registrations[runner] = _Registration(entry, self._era)
         self._close_leaving(runner)
-        self._removed.pop(runner, None)
         self.changes += 1
+        if (
+            removed is not None
+            and removed.start == entry.start
+            and removed.era < self._era
+        ):
+            self._hold(runner, now + RESTORED_HOLD_S)
+            return UpdateResult.RESTORED
         return UpdateResult.SAME if is_same else UpdateResult.START
 
     def note_leaving(
@@ -191,8 +233,16 @@
                 continue
             if not self._may_come_back(registration.removed_at, now):
                 self._drop(runner, now)
+        for runner, registration in self._registrations.items():
+            if registration.held is not None and (
+                now >= registration.held_until
+            ):
+                registration.entry = registration.held
+                registration.held = None
+                self._close_leaving(runner)
+                self.changes += 1
         for runner, removed in list(self._removed.items()):
-            if now - removed.at > BIRTH_RETENTION_S:
+            if now - removed.at > REMOVED_RETENTION_S:
                 del self._removed[runner]
 
     def find(self, start: ids.RunnerStart) -> dialect.RunnerEntry | None:
@@ -202,6 +252,15 @@
             return None
         return registration.entry
 
+    def is_registered_as(self, entry: dialect.RunnerEntry) -> bool:
+        """Tell whether a registration is in force and reads just so."""
+        registration = self._registrations.get(ids.parse_runner(entry.start))
+        return (
+            registration is not None
+            and registration.removed_at is None
+            and registration.entry == entry
+        )
+
     def list_open(self, pool: ids.Pool) -> list[dialect.RunnerEntry]:
         """Return the runners of a pool that accept new requests."""
         found = [
@@ -251,9 +310,30 @@
     def _drop(self, runner: ids.Runner, now: float) -> None:
         registration = self._registrations.pop(runner)
         self._leaving.discard(runner)
-        self._removed[runner] = _Removed(registration.entry.start, now)
+        self._removed[runner] = _Removed(
+            registration.entry.start, now, self._era
+        )
         self.changes += 1
 
+    def _has_reopened(
+        self, registration: _Registration, entry: dialect.RunnerEntry
+    ) -> bool:
+        return (
+            registration.era < self._era
+            and registration.entry.is_draining
+            and not entry.is_draining
+        )
+
+    def _hold(self, runner: ids.Runner, until: float) -> None:
+        registration = self._registrations[runner]
+        if registration.entry.is_draining:
+            return
+        registration.held = registration.entry
+        registration.held_until = until
+        registration.entry = dataclasses.replace(
+            registration.entry, is_draining=True
+        )
+
     def _close_leaving(self, runner: ids.Runner) -> None:
         registration = self._registrations[runner]
         entry = registration.entry
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -518,9 +518,11 @@
         super().setUp()
         self.replica = records.Replica()
         self.seen: list[tuple[str, bytes | None]] = []
-        self.replica.add_observer(
-            lambda topic, record: self.seen.append((record.key, record.value))
-        )
+        self.replica.add_observer(self.observe)
+
+    def observe(self, topic: dialect.Topic, record: dialect.Record) -> bool:
+        self.seen.append((record.key, record.value))
+        return False
 
     def apply(
         self, offset: int, value: bytes | None, is_snapshot: bool = False
--- a/tests/test_gateway_starts.py
+++ b/tests/test_gateway_starts.py
@@ -110,7 +110,7 @@
         # start that left long ago.
         self.runners.update(make_entry(LATE_MS))
         self.runners.remove(RUNNER, 10.0)
-        self.runners.expire(10.1 + directory.BIRTH_RETENTION_S)
+        self.runners.expire(10.1 + directory.REMOVED_RETENTION_S)
         self.runners.update(make_entry(EARLY_MS))
         self.assertEqual([EARLIER], self.list_open())
 
--- a/tests/test_rollout_statuses.py
+++ b/tests/test_rollout_statuses.py
@@ -46,8 +46,9 @@
         return orders.StatusPage(len(self.records), newest)
 
     async def write_status(
-        self, service: ids.Pool, status: orders.Status, end_offset: int
+        self, service: ids.Pool, status: orders.Status, page: orders.StatusPage
     ) -> bool:
+        end_offset = page.end_offset
         await pause()
         number = self.appends
         self.appends += 1
