Tell hosts that start what the store has lost

Callers of a host that starts after the store came back from a copy, and before all is written again, were served by an older version than those of others: it knew the copy only, at the same positions as the other hosts, so it asked none.

Change: a host that holds newer values than the store tells a host that starts, which reads all records from it once. Of two values at one position the newer one stands, by content.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -76,6 +76,7 @@
 from apricotlandingd.gateway.replication import readerchoice
 from apricotlandingd.gateway.replication import recordexchange
 from apricotlandingd.gateway.replication import records
+from apricotlandingd.gateway.replication import restatements
 from apricotlandingd.gateway.replication import storereader
 from apricotlandingd.gateway.replication import timing
 from apricotlandingd.gateway.requests import crashguard
@@ -226,6 +227,9 @@
         self._publisher = joining.Publisher(
             config.host, config.state, self._store, self._rng
         )
+        self._restatements = restatements.Restatements(
+            config.peers, self._replica, self._mesh, self._catch_up
+        )
         for message_type, handler in self._rollouts.list_handlers():
             self._mesh.subscribe(message_type, handler)
 
@@ -572,6 +576,7 @@
         self._crash_reports.greet(host, now)
         self._limit_reports.greet(host, now)
         self._departure_reports.greet(host)
+        self._restatements.greet(host)
 
     # Runners.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/catchup.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/catchup.py
@@ -45,17 +45,31 @@
         self._peer_is_ahead = anyio.Event()
         # Peers whose fetches failed since the last one that succeeded.
         self._failed: set[addresses.Address] = set()
+        # A peer from which all records are to be read; that is done once.
+        self._source: addresses.Address | None = None
+        self._has_read_all = False
 
     def notify_ahead(self) -> None:
         """Report that a peer is ahead."""
         self._peer_is_ahead.set()
 
+    def request_all(self, peer: addresses.Address) -> None:
+        """Read all records from a peer, unless that was done before."""
+        if not self._has_read_all:
+            self._source = peer
+            self._peer_is_ahead.set()
+
     async def run(self) -> None:
         """Fetch missing records until cancelled."""
         while True:
             await self._peer_is_ahead.wait()
             await anyio.sleep(PEER_FETCH_DELAY_S)
             self._peer_is_ahead = anyio.Event()
+            if self._source is not None and not self._has_read_all:
+                peer, self._source = self._source, None
+                self._has_read_all = await self._exchange.fetch(
+                    peer, recordexchange.EXCHANGE_TIMEOUT_S, is_whole=True
+                )
             ahead = self._list_ahead()
             if not ahead:
                 continue
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
@@ -66,11 +66,22 @@
         finally:
             await link.close()
 
-    async def fetch(self, address: addresses.Address, timeout: float) -> bool:
-        """Apply a peer's records; return False if the fetch fails."""
+    async def fetch(
+        self,
+        address: addresses.Address,
+        timeout: float,
+        is_whole: bool = False,
+    ) -> bool:
+        """Apply a peer's records; return False if the fetch fails.
+
+        With ``is_whole`` all of them, else those after what is known.
+        """
+        positions = records.list_positions(self._replica.positions)
+        if is_whole:
+            positions = [0] * len(positions)
         try:
             with anyio.fail_after(timeout):
-                page = await self._query_peer(address)
+                page = await self._query_peer(address, positions)
         except errors.Refused as error:
             self.on_unreadable(
                 str(address), str(error), clocks.read_monotonic()
@@ -85,7 +96,7 @@
         return True
 
     async def _query_peer(
-        self, address: addresses.Address
+        self, address: addresses.Address, positions: list[int]
     ) -> messages.RecordPage:
         async with await anyio.connect_tcp(
             address.host, address.port
@@ -95,9 +106,7 @@
             )
             link = frames.FrameStream(stream)
             link.limit_bytes = FRAME_LIMIT_BYTES
-            query = messages.RecordQuery(
-                records.list_positions(self._replica.positions)
-            )
+            query = messages.RecordQuery(positions)
             await link.send(messages.registry.pack(query))
             return _check_page(messages.registry.unpack(await link.receive()))
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/records.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/records.py
@@ -60,6 +60,8 @@
         }
         # 0 until the whole topic has been read.
         self.positions: Positions = dict.fromkeys(TOPICS, 0)
+        # Keys whose value here is newer than that of the store.
+        self._restated: set[tuple[dialect.Topic, str]] = set()
         self._observers: list[Observer] = []
         # Called with each record whose key cannot be decoded. Set by the
         # gateway.
@@ -99,6 +101,10 @@
             self.changed.set()
             self.changed = anyio.Event()
 
+    def has_restated(self) -> bool:
+        """Tell whether the store lacks what is known here."""
+        return bool(self._restated)
+
     def find_era(self) -> int:
         """Return the latest era that a topic was read in."""
         return max(positions.find_era(at) for at in self.positions.values())
@@ -117,19 +123,26 @@
         self, topic: dialect.Topic, record: dialect.Record, era: int
     ) -> None:
         known = self._records[topic].get(record.key)
-        if known is not None and record.offset <= known.offset:
+        if known is not None and _is_known(known, record):
             return
+        self._restated.discard((topic, record.key))
         self._records[topic][record.key] = record
         self._prune_removed(topic)
         is_older = False
         for observer in self._observers:
             is_older |= observer(topic, record)
-        if known is None or era <= positions.find_era(known.offset):
+        if known is None:
             return
-        if is_older:
+        # At the same position, the value of the store and that of a host
+        # which knows a newer one.
+        is_tie = record.offset == known.offset
+        is_new_era = era > positions.find_era(known.offset)
+        if is_older and (is_tie or is_new_era):
             self._records[topic][record.key] = dataclasses.replace(
                 record, value=known.value
             )
+        if is_tie or (is_older and is_new_era):
+            self._restated.add((topic, record.key))
 
     def _enter_era(self, topic: dialect.Topic, batch: dialect.Batch) -> None:
         before = self.positions[topic]
@@ -189,3 +202,9 @@
 def has_all_topics(own: Positions) -> bool:
     """Tell whether every topic has been read."""
     return all(positions.find_offset(own[topic]) > 0 for topic in TOPICS)
+
+
+def _is_known(known: dialect.Record, record: dialect.Record) -> bool:
+    if record.offset == known.offset:
+        return record.value == known.value
+    return record.offset < known.offset
--- a/tests/test_gateway_eras.py
+++ b/tests/test_gateway_eras.py
@@ -148,6 +148,37 @@
         second.fetch(first)
         self.assertEqual((3, 3), (first.version, second.version))
 
+    def test_host_that_starts_with_the_copy(self) -> None:
+        """Guards against two values at one position that hosts mix up."""
+        store = _Store(versions=[1, 2, 3])
+        known, fresh = _Host(), _Host()
+        known.read(store)
+        store.versions, store.era = [1], 2
+        known.read(store)
+        self.assertTrue(known.replica.has_restated())
+        fresh.read(store)
+        self.assertEqual(1, fresh.version)
+        whole = known.replica.list_since(dialect.CONFIG, 0)
+        fresh.replica.apply(dialect.CONFIG, whole, is_snapshot=False)
+        self.assertEqual(3, fresh.version)
+        self.assertTrue(fresh.replica.has_restated())
+        # The store's older value does not come back to it.
+        fresh.read(store)
+        self.assertEqual(
+            [b'3'],
+            [
+                record.value
+                for record in fresh.replica.list_since(
+                    dialect.CONFIG, 0
+                ).records
+            ],
+        )
+        store.versions.append(4)
+        for host in (known, fresh):
+            host.read(store)
+            self.assertEqual(4, host.version)
+            self.assertFalse(host.replica.has_restated())
+
     def test_key_that_the_copy_lacks(self) -> None:
         """Guards against a configuration that is removed by a copy."""
         host = _Host()
