--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -15,8 +15,6 @@
 event that the caller has, if its route allows that.
 """
 
-import collections.abc
-import contextlib
 import enum
 import typing as ty
 
@@ -34,6 +32,7 @@
 from apricotlandingd.gateway.relays import runnerpaths
 from apricotlandingd.gateway.requests import admission
 from apricotlandingd.gateway.requests import inactivity
+from apricotlandingd.gateway.requests import inactivitylimit
 from apricotlandingd.gateway.requests import poolchoice
 from apricotlandingd.gateway.requests import queueentries
 from apricotlandingd.gateway.requests import replies
@@ -86,6 +85,9 @@
         self._pool = ids.Pool('')
         self._notes = runnernotes.RunnerNotes(shared, self._admission)
         self._sends = sendcounts.SendCounts(shared, self._admission)
+        self._inactivity = inactivitylimit.InactivityLimit(
+            shared, self._admission, self._sends
+        )
         self._may_have_run = False
         self._tried: set[ids.RunnerStart] = set()
         # Those of them that this host could not connect to.
@@ -337,7 +339,7 @@
         self._may_have_run = True
         self._sends.begin()
         try:
-            async with self._limit_inactivity(entry) as timeout:
+            async with self._inactivity.limit(entry, self._tried) as timeout:
                 async with self._shared.paths.open(
                     entry, call, self._admission
                 ) as path:
@@ -393,49 +395,6 @@
             deadline_at=self._admission.deadline_at,
         )
 
-    # Inactivity.
-
-    @contextlib.asynccontextmanager
-    async def _limit_inactivity(
-        self, entry: dialect.RunnerEntry
-    ) -> collections.abc.AsyncIterator[inactivity.Timeout]:
-        timeout = inactivity.Timeout()
-        if not self._sends.may_abandon():
-            yield timeout
-            return
-        estimate = self._shared.latencies.find(entry.pool, entry.start)
-        first = estimate.predict_first_event(
-            self._admission.head.prompt_tokens
-        )
-        timeout.extend(
-            inactivity.find_first_timeout(
-                self._admission.route.objective_s, first
-            )
-        )
-        async with taskgroups.open_group() as group:
-            group.start_soon(self._watch_inactivity, timeout)
-            with timeout.scope:
-                yield timeout
-        if timeout.scope.cancelled_caught:
-            raise inactivity.Silent('the runner fell silent')
-
-    async def _watch_inactivity(self, timeout: inactivity.Timeout) -> None:
-        # An inactive runner may still answer. It is abandoned only if another
-        # one may be asked; otherwise its late answer would be lost for
-        # nothing.
-        while True:
-            await anyio.sleep_until(timeout.ends_at)
-            if anyio.current_time() < timeout.ends_at:
-                continue
-            now = clocks.read_monotonic()
-            has_other = self._shared.dispatcher.has_place(
-                self._sends.find_retry_pool(now), self._tried, now
-            )
-            if has_other and self._sends.reserve_retry(now):
-                timeout.scope.cancel()
-                return
-            timeout.extend(inactivity.MIN_FIRST_TIMEOUT_S)
-
     # Answers.
 
     async def _take_answer(
