Log the software version of runners, and each stream that is resumed

The logs could not tell whether a stream went on at another version within one answer or because its caller took it up elsewhere: the version was dropped where roll-outs are not in force, and no line said that a request took a stream up.

gateway:request has the release of the last runner, and the attempt and event that the caller resumes after; gateway:runner has the release; gateway:stream_resumed names both versions of a stream that goes on at another run, and streams_resumed_total counts them. Registrations keep their release; whether runners of one release are a pool of their own is a field now, so no decision changes.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -66,6 +66,9 @@
     last_event: str
     # Headers that are forwarded to the runner unchanged.
     passed: tuple[tuple[bytes, bytes], ...]
+    # The attempt that brought the first event of the stream that this one
+    # takes up; '' if it takes up none.
+    resumes: str = ''
 
 
 @ty.final
@@ -122,12 +125,16 @@
     slots: int
     # Finishes its requests and accepts no new ones.
     is_draining: bool
-    # Version of its software; '' where releases are not distinguished.
+    # Version of its software; '' if it is not stated.
     release: ids.Release = ids.Release('')
+    # Runners of each release are a pool of their own, for roll-outs.
+    is_pooled_by_release: bool = True
 
     @property
     def pool(self) -> ids.Pool:
         """Return the pool that the runner belongs to."""
+        if not self.is_pooled_by_release:
+            return self.service
         return ids.make_pool(self.service, self.release)
 
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
@@ -30,7 +30,7 @@
         """Apply records to a directory.
 
         ``on_start`` is called with each new start of a runner. Without
-        ``has_rollouts``, releases of runners are not distinguished.
+        ``has_rollouts``, runners of all releases are one pool.
         """
         self._dialect = platform_dialect
         self._directory = runners
@@ -45,6 +45,7 @@
         """
         runner = ids.Runner(record.key)
         birth: int | None = None
+        release: ids.Release | None = None
         is_older = False
         if record.value is None:
             self._directory.remove(runner, now)
@@ -56,8 +57,9 @@
                 self._retract(runner, str(error), now)
                 return False
             if not self._has_rollouts:
-                entry = dataclasses.replace(entry, release=ids.Release(''))
+                entry = dataclasses.replace(entry, is_pooled_by_release=False)
             birth = ids.parse_start_time(entry.start)
+            release = entry.release
             state = 'draining' if entry.is_draining else 'open'
             if self._directory.is_registered_as(entry):
                 # Read again as it was known.
@@ -70,7 +72,13 @@
                 is_older = True
             elif result is directory.UpdateResult.RESTORED:
                 state = 'restored'
-        _log_runner(runner, state, birth, positions.find_offset(record.offset))
+        _log_runner(
+            runner,
+            state,
+            birth,
+            positions.find_offset(record.offset),
+            release,
+        )
         return is_older
 
     def _retract(self, runner: ids.Runner, detail: str, now: float) -> None:
@@ -89,6 +97,7 @@
     state: str,
     birth: int | None = None,
     offset: int | None = None,
+    release: ids.Release | None = None,
 ) -> None:
     eliot.log_message(
         'gateway:runner',
@@ -96,4 +105,5 @@
         born=birth,
         state=state,
         offset=offset,
+        release=release,
     )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -19,6 +19,7 @@
 import typing as ty
 
 import anyio
+import eliot
 
 from apricotlanding import asgi
 from apricotlanding import clocks
@@ -95,12 +96,16 @@
         # A failure that a runner answered, in case no other runner succeeds.
         self._fallback: tuple[dialect.AnswerHead, bytes] | None = None
         self._reader: streams.EventReader | None = None
+        # Version of the software that wrote the last event of a stream.
+        self._stream_release: ids.Release | None = None
         self._first_at: float | None = None
         # Seconds spent waiting for slots.
         self._waited_s = 0.0
         # All work on the request; cancelled by ``end``.
         self._work = anyio.CancelScope()
         self._runner: ids.RunnerStart | None = None
+        # Version of that runner's software.
+        self._runner_release: ids.Release | None = None
         # The host that the last call went through, if it was another one.
         self._relay_host: ids.Host | None = None
         self._detail = ''
@@ -297,6 +302,7 @@
                 self._detail = 'the runner has left'
                 end = _SendResult.NOT_RUN
                 return end
+            self._runner_release = entry.release
             with self._notes.track(entry):
                 end = await self._send_to(entry, began_at)
             if end is _SendResult.DONE:
@@ -496,6 +502,7 @@
             self._reader = reader
         reader.drop_partial()
         before = reader.count
+        last_event = reader.last_event
         first_at: float | None = None
         async for part in answer.iterate():
             complete = reader.take(part)
@@ -506,6 +513,7 @@
                 first_at = now
                 self._first_at = self._first_at or now
                 self._notes.note_first(entry, now - began_at)
+                self._note_stream_release(entry, last_event)
             if self._sends.may_abandon():
                 gap_s = self._admission.route.gap_objective_s
                 timeout.extend(inactivity.find_gap_timeout(gap_s))
@@ -521,6 +529,22 @@
         self._notes.note_end(entry, events, began_at, first_at)
         return _SendResult.DONE
 
+    def _note_stream_release(
+        self, entry: dialect.RunnerEntry, last_event: str
+    ) -> None:
+        before, self._stream_release = self._stream_release, entry.release
+        if before is None:
+            return
+        self._shared.telemetry.count('streams_resumed_total')
+        eliot.log_message(
+            'gateway:stream_resumed',
+            attempt=self._admission.head.attempt,
+            runner=ids.parse_runner(entry.start),
+            release=entry.release,
+            release_before=before,
+            last_event=last_event,
+        )
+
     # Answers of the gateway.
 
     async def _fail(self, problem: errors.Problem) -> None:
@@ -541,6 +565,7 @@
             self._admission,
             resultlog.Result(
                 runner=runner,
+                release=self._runner_release,
                 sends=self._sends.count,
                 relay_host=self._relay_host,
                 waited_s=self._waited_s,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/resultlog.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/resultlog.py
@@ -19,6 +19,8 @@
 
     # The last runner that it was sent to, and the number of sends.
     runner: ids.Runner | None
+    # Version of that runner's software.
+    release: ids.Release | None
     sends: int
     # The host that the last call went through, if it was another one.
     relay_host: ids.Host | None
@@ -54,6 +56,9 @@
         target=admitted.target,
         organisation=None if holder is None else holder.name,
         runner=result.runner,
+        release=result.release,
+        resumes=head.resumes or None,
+        last_event=head.last_event or None,
         sends=result.sends,
         relay_host=result.relay_host,
         version=admitted.version,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
@@ -86,7 +86,7 @@
     ) -> None:
         """Start without orders.
 
-        Without ``has_rollouts``, releases are not distinguished.
+        Without ``has_rollouts``, runners of all releases are one pool.
         """
         self._runners = runners
         self._has_rollouts = has_rollouts
