--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -9,7 +9,6 @@
 """
 
 import collections
-import collections.abc
 import dataclasses
 import random
 import typing as ty
@@ -23,6 +22,7 @@
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.decisions import ratelimits
 from apricotlandingd.gateway.decisions import returndelays
+from apricotlandingd.gateway.decisions import schedulingviews
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
@@ -87,46 +87,6 @@
     at: float
 
 
-@ty.final
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RunnerView:
-    """Snapshot of a service's runners for one scheduling pass."""
-
-    entries: list[dialect.RunnerEntry]
-    # Runners that would be among them, had they not asked for rest.
-    resting: list[closedrunners.RestingRunner]
-    # Slots in use by all hosts.
-    used: dict[ids.RunnerStart, int]
-    # Slots that may be granted now; negative where hosts together
-    # overcommitted a runner.
-    free: dict[ids.RunnerStart, int]
-    avoided: set[ids.RunnerStart]
-
-    def count_free_slots(self) -> int:
-        return sum(count for count in self.free.values() if count > 0)
-
-
-@ty.final
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Queue:
-    """Snapshot of a service's queue for one scheduling pass."""
-
-    # Requests of this host, in order.
-    own: list[tuple[queueing.Rank, queueing.QueuedRequest]]
-    # Ranks of the requests of peers, in order.
-    others: list[queueing.Rank]
-
-    def iterate(
-        self,
-    ) -> collections.abc.Iterator[tuple[queueing.QueuedRequest, int]]:
-        """Yield each own request and the number of peers' ahead of it."""
-        ahead = 0
-        for rank, request in self.own:
-            while ahead < len(self.others) and self.others[ahead] < rank:
-                ahead += 1
-            yield request, ahead
-
-
 @ty.final
 class Scheduler:
     """Schedules the requests of this host and counts their slots."""
@@ -279,7 +239,7 @@
         requests = self._waiting.get(service)
         if not requests:
             return
-        queue = _Queue(
+        queue = schedulingviews.Queue(
             sorted(
                 ((request.find_rank(now), request) for request in requests),
                 key=_find_rank,
@@ -291,7 +251,7 @@
         starts = {item.entry.start for item in resting}
         entries = [entry for entry in reachable if entry.start not in starts]
         used = {entry.start: self._count_used(entry, now) for entry in entries}
-        view = _RunnerView(
+        view = schedulingviews.RunnerView(
             entries,
             resting,
             used,
@@ -346,8 +306,8 @@
     def _grant(
         self,
         service: ids.Pool,
-        queue: '_Queue',
-        view: '_RunnerView',
+        queue: schedulingviews.Queue,
+        view: schedulingviews.RunnerView,
         now: float,
     ) -> None:
         left = view.count_free_slots()
@@ -381,7 +341,7 @@
         self,
         request: queueing.QueuedRequest,
         chosen: ids.RunnerStart,
-        view: '_RunnerView',
+        view: schedulingviews.RunnerView,
         now: float,
     ) -> None:
         self._closed.log_detour(request, chosen, view.resting, now)
@@ -396,7 +356,7 @@
         )
 
     def _list_exhausted(
-        self, view: '_RunnerView', now: float
+        self, view: schedulingviews.RunnerView, now: float
     ) -> list[ratelimits.Limit]:
         # Runners with a free slot, of whose limit nothing is left now.
         found: list[ratelimits.Limit] = []
@@ -415,7 +375,10 @@
         return now - since > YIELD_TIMEOUT_S
 
     def _choose(
-        self, request: queueing.QueuedRequest, view: '_RunnerView', now: float
+        self,
+        request: queueing.QueuedRequest,
+        view: schedulingviews.RunnerView,
+        now: float,
     ) -> placement.Candidate | None:
         free: list[placement.Candidate] = []
         busy: list[dialect.RunnerEntry] = []
@@ -438,7 +401,7 @@
         self,
         request: queueing.QueuedRequest,
         entries: list[dialect.RunnerEntry],
-        view: '_RunnerView',
+        view: schedulingviews.RunnerView,
         now: float,
     ) -> bool:
         for entry in entries:
@@ -453,7 +416,7 @@
         self,
         request: queueing.QueuedRequest,
         entry: dialect.RunnerEntry,
-        view: '_RunnerView',
+        view: schedulingviews.RunnerView,
         now: float,
     ) -> placement.Candidate:
         return placement.Candidate(
@@ -476,8 +439,8 @@
     def _reject(
         self,
         service: ids.Pool,
-        queue: '_Queue',
-        view: '_RunnerView',
+        queue: schedulingviews.Queue,
+        view: schedulingviews.RunnerView,
         now: float,
     ) -> None:
         free = view.count_free_slots()
