Keep a stream that goes on within one answer at its version

What callers saw: events of two software versions in one answer. A host whose runner broke off after the first events sent the stream on to any runner of the service.

Ruled out: a wrong version of a runner, as calls name the runner's id and no host saw an answer of another one.

Change: from the first event on a request names a release. The scheduler grants it runners of that release only; in a large system the runners of others are excluded in what coordinators are asked, so no message changes. It waits beside all others: it holds up nobody who may use another runner, and where a service has several releases hosts report such requests as those of the release, so that peers leave them the next slot there and no other. A roll-out moves no stream that has begun, but a release that was rolled back gets none. A registration that names another version later is that of the same process and changes nothing.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -404,6 +404,13 @@
         'no host reaches a runner of the service',
         'come back after Retry-After',
     )
+    NO_RELEASE = Template(
+        'APL615',
+        503,
+        Outcome.NOT_RUN,
+        'no runner of version {release!r}, which began the stream',
+        'start the stream again, or come back after Retry-After',
+    )
     NO_HOSTS = Template(
         'APL612',
         503,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/closedrunners.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/closedrunners.py
@@ -57,7 +57,7 @@
         untried = [
             entry
             for entry in self._runners.list_open(request.service)
-            if entry.start not in request.tried
+            if request.allows(entry)
         ]
         return 0 < len(untried) == len(self.list_resting(untried, now))
 
@@ -147,13 +147,13 @@
 
     0 if it may use one now, or if none rests.
     """
-    if any(entry.start not in request.tried for entry in usable):
+    if any(request.allows(entry) for entry in usable):
         return 0.0
     return min(
         (
             item.rest.ends_at - now
             for item in resting
-            if item.entry.start not in request.tried
+            if request.allows(item.entry)
         ),
         default=0.0,
     )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/queueing.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/queueing.py
@@ -22,6 +22,7 @@
 import anyio
 
 from apricotlanding import ids
+from apricotlandingd.gateway import dialect
 
 __all__ = [
     'Grant',
@@ -101,9 +102,19 @@
     queue_weight: float = 1.0
     # Seconds by which it is moved ahead in the queue.
     advance_s: float = 0.0
+    # Version of the software that its runner must have; None for any.
+    release: ids.Release | None = None
     decision: Grant | Refusal | None = None
     decided: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
+    def has_release(self, entry: dialect.RunnerEntry) -> bool:
+        """Tell whether a runner has a version that the request may use."""
+        return self.release is None or entry.release == self.release
+
+    def allows(self, entry: dialect.RunnerEntry) -> bool:
+        """Tell whether the request may be sent to a runner."""
+        return entry.start not in self.tried and self.has_release(entry)
+
     def find_rank(self, now: float) -> Rank:
         """Return the position in the queue; the smallest comes first."""
         is_late = now > self.on_time_by
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -21,8 +21,10 @@
 from apricotlandingd.gateway.decisions import placement
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.decisions import ratelimits
+from apricotlandingd.gateway.decisions import releasequeues
 from apricotlandingd.gateway.decisions import returndelays
 from apricotlandingd.gateway.decisions import schedulingviews
+from apricotlandingd.gateway.decisions import slotyields
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
@@ -32,10 +34,6 @@
 
 __all__ = ['Peers', 'RunnerFilter', 'Scheduler']
 
-# How long a free slot is left to a peer whose request comes first. Peers are
-# notified within a few milliseconds; one that has not taken the slot by then
-# has stopped or cannot use it.
-YIELD_TIMEOUT_S = 0.05
 # How long a runner is assumed to keep a prefix in its cache.
 CACHED_PREFIX_MAX_AGE_S = 10.0
 # Pairs of a prefix and a runner, for all services.
@@ -130,7 +128,7 @@
         self._cached_prefixes: collections.OrderedDict[
             tuple[str, ids.RunnerStart], float
         ] = collections.OrderedDict()
-        self._yielding_since: dict[ids.Pool, float] = {}
+        self._yields = slotyields.SlotYields()
         # Cache of the runners scheduled here, by service, and what it depends
         # on: the filter and the change count of the directory.
         self._own_runners: dict[ids.Pool, list[dialect.RunnerEntry]] = {}
@@ -202,11 +200,20 @@
             self._cached_prefixes.popitem(last=False)
 
     def has_free_slot(
-        self, service: ids.Pool, tried: set[ids.RunnerStart], now: float
+        self,
+        service: ids.Pool,
+        tried: set[ids.RunnerStart],
+        now: float,
+        release: ids.Release | None = None,
     ) -> bool:
-        """Return whether a runner that was not tried has a free slot."""
+        """Return whether a runner that was not tried has a free slot.
+
+        With ``release``, only runners of that release count.
+        """
         return any(
-            entry.start not in tried and self._count_free(entry, now) > 0
+            entry.start not in tried
+            and (release is None or entry.release == release)
+            and self._count_free(entry, now) > 0
             for entry in self._list_usable(service, now)
         )
 
@@ -220,12 +227,21 @@
     # Reports to peers.
 
     def list_waiting(self, now: float) -> dict[ids.Pool, list[queueing.Rank]]:
-        """Return the sorted ranks of the waiting requests, by service."""
-        return {
-            service: sorted(request.find_rank(now) for request in requests)
-            for service, requests in self._waiting.items()
-            if requests
-        }
+        """Return the sorted ranks of the waiting requests, by service.
+
+        Requests that wait for one of several releases are listed as those of
+        its pool: hosts leave them no slots of other runners.
+        """
+        found: dict[ids.Pool, list[queueing.Rank]] = {}
+        for service, requests in self._waiting.items():
+            for request in requests:
+                pool = releasequeues.find_queue(
+                    service, request, self._runners.list_open(service)
+                )
+                found.setdefault(pool, []).append(request.find_rank(now))
+        for ranks in found.values():
+            ranks.sort()
+        return found
 
     # Decisions.
 
@@ -239,17 +255,20 @@
         requests = self._waiting.get(service)
         if not requests:
             return
+        reachable = self._list_reachable(service, now)
+        resting = self._closed.list_resting(reachable, now)
+        starts = {item.entry.start for item in resting}
+        entries = [entry for entry in reachable if entry.start not in starts]
         queue = schedulingviews.Queue(
             sorted(
                 ((request.find_rank(now), request) for request in requests),
                 key=_find_rank,
             ),
             self._peers.list_waiting(service),
+            releasequeues.list_bound(
+                service, entries, self._peers.list_waiting
+            ),
         )
-        reachable = self._list_reachable(service, now)
-        resting = self._closed.list_resting(reachable, now)
-        starts = {item.entry.start for item in resting}
-        entries = [entry for entry in reachable if entry.start not in starts]
         used = {entry.start: self._count_used(entry, now) for entry in entries}
         view = schedulingviews.RunnerView(
             entries,
@@ -312,13 +331,18 @@
     ) -> None:
         left = view.count_free_slots()
         is_yielding = False
+        yielded: set[ids.Release] = set()
         for request, ahead in queue.iterate():
             if left <= 0:
                 break
-            if left <= ahead and not self._has_yield_timed_out(service, now):
+            if left <= ahead and not self._yields.has_timed_out(service, now):
                 is_yielding = True
                 break
-            candidate = self._choose(request, view, now)
+            left_out = self._yields.list_releases(
+                service, request, queue, view, now
+            )
+            yielded |= left_out
+            candidate = self._choose(request, view, left_out, now)
             if candidate is None:
                 continue
             left -= 1
@@ -328,7 +352,9 @@
             self._limiter.take(candidate.runner, now)
             self._grant_slot(request, candidate.runner)
         if not is_yielding:
-            self._yielding_since.pop(service, None)
+            self._yields.end(service)
+        for release in queue.bound.keys() - yielded:
+            self._yields.end(ids.make_pool(service, release))
 
     def _grant_slot(
         self, request: queueing.QueuedRequest, runner: ids.RunnerStart
@@ -370,19 +396,18 @@
                 found.append(limit)
         return found
 
-    def _has_yield_timed_out(self, service: ids.Pool, now: float) -> bool:
-        since = self._yielding_since.setdefault(service, now)
-        return now - since > YIELD_TIMEOUT_S
-
     def _choose(
         self,
         request: queueing.QueuedRequest,
         view: schedulingviews.RunnerView,
+        left_out: set[ids.Release],
         now: float,
     ) -> placement.Candidate | None:
         free: list[placement.Candidate] = []
         busy: list[dialect.RunnerEntry] = []
         for entry in view.entries:
+            if not request.has_release(entry) or entry.release in left_out:
+                continue
             if view.free[entry.start] <= 0:
                 busy.append(entry)
                 continue
@@ -443,29 +468,28 @@
         view: schedulingviews.RunnerView,
         now: float,
     ) -> None:
-        free = view.count_free_slots()
         hold = self.find_hold_time(service)
-        entries = view.entries
-        if not entries:
-            # Those that rest now are waited for.
-            entries = [item.entry for item in view.resting]
-            free = sum(self._count_free(entry, now) for entry in entries)
-        total = sum(
-            self._limiter.limit_slots(entry.start, entry.slots, hold, now)
-            for entry in entries
-        )
+        usable = self._count_places(view, None, hold, now)
         # Requests of this host that come first. Rejected ones do not count.
         ahead_here = 0.0
         for request, ahead in queue.iterate():
             if request.decision is not None:
                 continue
             before = ahead_here + ahead
+            free, total = usable
+            if request.release is not None:
+                # It waits beside those that may use any runner.
+                before = 0.0
+                free, total = self._count_places(
+                    view, request.release, hold, now
+                )
             wait = queueing.predict_wait(before, free, total, hold)
             wait += closedrunners.find_rest_wait(
                 request, view.entries, view.resting, now
             )
             if not _is_too_late(request, wait, total, now):
-                ahead_here += request.queue_weight
+                if request.release is None:
+                    ahead_here += request.queue_weight
                 continue
             left = request.ends_at - now
             retry_after_s = returndelays.choose_delay(
@@ -476,6 +500,7 @@
                 'gateway:refused',
                 attempt=request.attempt,
                 service=service,
+                release=request.release,
                 waited_s=round(now - request.arrived_at, 4),
                 wait_s=round(min(wait, 999.0), 4),
                 ahead=round(before, 1),
@@ -495,6 +520,26 @@
                 queueing.Refusal(retry_after_s, wait, round(before))
             )
 
+    def _count_places(
+        self,
+        view: schedulingviews.RunnerView,
+        release: ids.Release | None,
+        hold_s: float,
+        now: float,
+    ) -> tuple[int, float]:
+        # Free slots, and all, of the runners of a release; None for any.
+        entries = view.list_entries(release)
+        free = view.count_free_slots(release)
+        if not entries:
+            # Those that rest now are waited for.
+            entries = view.list_resting(release)
+            free = sum(self._count_free(entry, now) for entry in entries)
+        total = sum(
+            self._limiter.limit_slots(entry.start, entry.slots, hold_s, now)
+            for entry in entries
+        )
+        return free, total
+
     def _describe_unreachable(
         self, service: ids.Pool, now: float
     ) -> list[dict[str, ty.Any]]:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/schedulingviews.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/schedulingviews.py
@@ -1,5 +1,6 @@
 """Snapshots of a service's runners and queue for one scheduling pass."""
 
+import bisect
 import collections.abc
 import dataclasses
 import typing as ty
@@ -27,9 +28,29 @@
     free: dict[ids.RunnerStart, int]
     avoided: set[ids.RunnerStart]
 
-    def count_free_slots(self) -> int:
-        """Return the number of free slots."""
-        return sum(count for count in self.free.values() if count > 0)
+    def list_entries(
+        self, release: ids.Release | None = None
+    ) -> list[dialect.RunnerEntry]:
+        """Return the runners, all or those of a release."""
+        if release is None:
+            return self.entries
+        return [entry for entry in self.entries if entry.release == release]
+
+    def list_resting(
+        self, release: ids.Release | None = None
+    ) -> list[dialect.RunnerEntry]:
+        """Return the runners that rest, all or those of a release."""
+        entries = [item.entry for item in self.resting]
+        if release is None:
+            return entries
+        return [entry for entry in entries if entry.release == release]
+
+    def count_free_slots(self, release: ids.Release | None = None) -> int:
+        """Return the free slots, of all runners or those of a release."""
+        return sum(
+            max(0, self.free[entry.start])
+            for entry in self.list_entries(release)
+        )
 
 
 @ty.final
@@ -39,8 +60,17 @@
 
     # Requests of this host, in order.
     own: list[tuple[queueing.Rank, queueing.QueuedRequest]]
-    # Ranks of the requests of peers, in order.
+    # Ranks of the requests of peers that may use any runner, in order.
     others: list[queueing.Rank]
+    # Those of requests that may use runners of one release only, where the
+    # service has several.
+    bound: dict[ids.Release, list[queueing.Rank]]
+
+    def count_bound_ahead(
+        self, release: ids.Release, rank: queueing.Rank
+    ) -> int:
+        """Return the requests of peers for a release that come first."""
+        return bisect.bisect_left(self.bound[release], rank)
 
     def iterate(
         self,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/dispatch.py
@@ -32,6 +32,7 @@
 from apricotlandingd.gateway.hosts import messages
 from apricotlandingd.gateway.hosts import placelinks
 from apricotlandingd.gateway.hosts import placemessages
+from apricotlandingd.gateway.hosts import subsetindex
 from apricotlandingd.gateway.runners import brittleness
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import health
@@ -106,20 +107,15 @@
         self._message_count = 0
         self._waiting: dict[int, placelinks.WaitingRequest] = {}
         self._held: dict[int, ids.RunnerStart] = {}
-        # Places to be released later: when, and those of which service.
-        self._later: list[tuple[float, ids.Pool, queueing.Grant]] = []
+        self._later = placelinks.LaterReleases()
         self._links: dict[subsets.Subset, placelinks.Link] = {}
-        # Subsets by service and by runner, for the value of the directory's
-        # ``changes`` below.
-        self._subsets: dict[ids.Pool, list[subsets.Subset]] = {}
-        self._subset_of: dict[ids.RunnerStart, subsets.Subset] = {}
-        self._changes = -1
+        self._subsets = subsetindex.SubsetIndex(runners)
 
     # Requests.
 
     def enter(self, ticket: queueing.QueuedRequest, now: float) -> None:
         """Add a request that waits for a place; it may be decided at once."""
-        found = self._list_subsets(ticket.service)
+        found = self._subsets.list_usable(ticket)
         if (
             not self._is_coordinated(ticket.service)
             or not found
@@ -151,7 +147,7 @@
         if start is None:
             return
         self._local.held_slots.release(start)
-        subset = self._find_subset(start)
+        subset = self._subsets.find(start)
         if subset is not None:
             self._send(self._get_link(subset, now), now, wants_reply=False)
 
@@ -173,16 +169,22 @@
         if ends_at <= now or not self._brittle.is_brittle(grant.runner):
             self.release(service, grant, now)
             return
-        self._later.append((ends_at, service, grant))
+        self._later.add(ends_at, service, grant)
 
     def has_place(
-        self, service: ids.Pool, tried: set[ids.RunnerStart], now: float
+        self,
+        service: ids.Pool,
+        tried: set[ids.RunnerStart],
+        now: float,
+        release: ids.Release | None = None,
     ) -> bool:
-        """Tell whether a runner that was not tried may have a free place."""
+        """Tell whether an untried runner, of a release, may have a place."""
         if not self._is_coordinated(service):
-            return self._local.has_free_slot(service, tried, now)
+            return self._local.has_free_slot(service, tried, now, release)
         if all(
-            entry.start in tried or self._closed.is_resting(entry.start, now)
+            entry.start in tried
+            or (release is not None and entry.release != release)
+            or self._closed.is_resting(entry.start, now)
             for entry in self._runners.list_open(service)
         ):
             return False
@@ -213,7 +215,7 @@
             self._local.note_cached_prefix(observation.part, start, now)
         if not is_reported or not self._is_coordinated(service):
             return
-        subset = self._find_subset(start)
+        subset = self._subsets.find(start)
         if subset is None:
             return
         link = self._get_link(subset, now)
@@ -288,11 +290,7 @@
             self._check_link(subset, link, now)
 
     def _release_due(self, now: float) -> None:
-        due = [item for item in self._later if now >= item[0]]
-        if not due:
-            return
-        self._later = [item for item in self._later if now < item[0]]
-        for _, service, grant in due:
+        for service, grant in self._later.take_due(now):
             self.release(service, grant, now)
 
     def keep_only(self, runners: set[ids.RunnerStart]) -> None:
@@ -322,19 +320,34 @@
             self._ask_second(number, item, now)
         if item.is_local:
             return
-        if self._closed.waits_for_rest(item.ticket, now) or all(
-            subset not in self._links
-            or self._links[subset].silent_hosts >= candidates.MAX_SILENT_HOSTS
-            for subset in item.asked
+        if (
+            self._closed.waits_for_rest(item.ticket, now)
+            or not self._has_runner(item.ticket, now)
+            or all(
+                subset not in self._links
+                or self._links[subset].silent_hosts
+                >= candidates.MAX_SILENT_HOSTS
+                for subset in item.asked
+            )
         ):
             item.is_local = True
             self._local.enter(item.ticket, now)
 
+    def _has_runner(self, ticket: queueing.QueuedRequest, now: float) -> bool:
+        # Coordinators cannot tell that the release which a request waits for
+        # has left; this host refuses it as one whose service has no runner.
+        return ticket.release is None or any(
+            ticket.has_release(entry)
+            and not self._health.is_unreachable(entry.start, now)
+            for entry in self._runners.list_open(ticket.service)
+        )
+
     def _check_link(
         self, subset: subsets.Subset, link: placelinks.Link, now: float
     ) -> None:
         has_held = any(
-            self._find_subset(start) == subset for start in self._held.values()
+            self._subsets.find(start) == subset
+            for start in self._held.values()
         )
         if not link.wanted and not has_held and not link.unsent:
             if (
@@ -372,7 +385,7 @@
     ) -> None:
         others = [
             subset
-            for subset in self._list_subsets(item.ticket.service)
+            for subset in self._subsets.list_usable(item.ticket)
             if subset not in item.asked
         ]
         if others:
@@ -402,6 +415,7 @@
         if (
             entry is None
             or entry.is_draining
+            or not item.ticket.has_release(entry)
             or self._closed.is_resting(entry.start, now)
         ):
             # The coordinator's directory is older or newer than this host's,
@@ -476,10 +490,10 @@
                 link.unanswered_at = now
         for number in link.wanted:
             request.wanted[number] = self._make_wanted(
-                self._waiting[number], now
+                self._waiting[number], link.subset, now
             )
         for number, start in self._held.items():
-            if self._find_subset(start) == link.subset:
+            if self._subsets.find(start) == link.subset:
                 request.held[number] = messages.digest_start(start)
         request.seen.extend(link.unsent)
         link.unsent.clear()
@@ -522,7 +536,10 @@
             self._hosts.send(request, address)
 
     def _make_wanted(
-        self, item: placelinks.WaitingRequest, now: float
+        self,
+        item: placelinks.WaitingRequest,
+        subset: subsets.Subset,
+        now: float,
     ) -> placemessages.Wanted:
         ticket = item.ticket
         closed = [
@@ -535,6 +552,7 @@
         closed += [
             start for start, _ in self._runners.list_leaving(ticket.service)
         ]
+        closed += self._subsets.list_unusable(ticket, subset)
         excluded = {
             messages.digest_start(start) for start in (*ticket.tried, *closed)
         }
@@ -581,25 +599,3 @@
 
     def _choose_target(self, subset: subsets.Subset, now: float) -> ids.Host:
         return self._candidates.choose(subset.find_name(), now)
-
-    def _list_subsets(self, service: ids.Pool) -> list[subsets.Subset]:
-        self._update_subsets()
-        return self._subsets.get(service, [])
-
-    def _find_subset(self, start: ids.RunnerStart) -> subsets.Subset | None:
-        self._update_subsets()
-        return self._subset_of.get(start)
-
-    def _update_subsets(self) -> None:
-        if self._changes == self._runners.changes:
-            return
-        self._changes = self._runners.changes
-        self._subsets.clear()
-        self._subset_of.clear()
-        for service in self._runners.list_pools():
-            entries = self._runners.list_open(service)
-            found = subsets.list_subsets(service, len(entries))
-            self._subsets[service] = found
-            for subset in found:
-                for entry in subsets.select_runners(subset, entries):
-                    self._subset_of[entry.start] = subset
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/placelinks.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/placelinks.py
@@ -8,7 +8,7 @@
 from apricotlandingd.gateway.decisions import subsets
 from apricotlandingd.gateway.hosts import placemessages
 
-__all__ = ['Link', 'WaitingRequest']
+__all__ = ['LaterReleases', 'Link', 'WaitingRequest']
 
 
 @ty.final
@@ -47,3 +47,23 @@
     heard_at: float | None = None
     # Consecutive coordinators that did not reply.
     silent_hosts: int = 0
+
+
+@ty.final
+class LaterReleases:
+    """Places that are released after a time."""
+
+    def __init__(self) -> None:
+        """Start without places."""
+        self._items: list[tuple[float, ids.Pool, queueing.Grant]] = []
+
+    def add(self, at: float, service: ids.Pool, grant: queueing.Grant) -> None:
+        """Have a place released at a time."""
+        self._items.append((at, service, grant))
+
+    def take_due(self, now: float) -> list[tuple[ids.Pool, queueing.Grant]]:
+        """Return the places that are to be released now."""
+        due = [item[1:] for item in self._items if now >= item[0]]
+        if due:
+            self._items = [item for item in self._items if now < item[0]]
+        return due
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -45,6 +45,9 @@
         # '' until the route is known.
         self.service = ids.Pool('')
         self.organisation: catalogue.Organisation | None = None
+        # Version of the software at which its stream began, and has to go on;
+        # None while it may begin at any.
+        self.release: ids.Release | None = None
         # What was taken from the organisation's allowance, until returned.
         self._allowance_request: sharedallowances.UnitRequest | None = None
         self.event_tokens = 1.0
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -231,8 +231,8 @@
             return problem
         decision = await self._wait_for_open()
         if isinstance(decision, queueing.Refusal):
-            return errors.make_problem(
-                errors.Kind.NO_PLACE, decision.retry_after_s
+            return poolchoice.explain_refusal(
+                self._shared, self._admission, decision
             )
         # It may have been put in quarantine while it waited.
         now = clocks.read_monotonic()
@@ -244,11 +244,16 @@
 
     async def _wait_for_open(self) -> queueing.Grant | queueing.Refusal:
         while True:
+            now = clocks.read_monotonic()
+            if not poolchoice.may_go_on(self._shared, self._admission, now):
+                return queueing.Refusal(admission.RETRY_AFTER_S, 0.0, 0)
             decision = await self._wait_for_place()
             if isinstance(decision, queueing.Refusal):
                 return decision
             now = clocks.read_monotonic()
-            if poolchoice.may_use(self._shared, decision.runner, now):
+            if poolchoice.may_use(
+                self._shared, self._admission, decision.runner, now
+            ):
                 return decision
             self._release(decision)
 
@@ -533,6 +538,8 @@
         self, entry: dialect.RunnerEntry, last_event: str
     ) -> None:
         before, self._stream_release = self._stream_release, entry.release
+        # From the first event on it goes on at this version only.
+        self._admission.release = entry.release
         if before is None:
             return
         self._shared.telemetry.count('streams_resumed_total')
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/inactivitylimit.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/inactivitylimit.py
@@ -74,7 +74,10 @@
                 continue
             now = clocks.read_monotonic()
             has_other = self._shared.dispatcher.has_place(
-                self._sends.find_retry_pool(now), tried, now
+                self._sends.find_retry_pool(now),
+                tried,
+                now,
+                self._admission.release,
             )
             if has_other and self._sends.reserve_retry(now):
                 timeout.scope.cancel()
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/queueentries.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/queueentries.py
@@ -71,6 +71,7 @@
         last_part=head.prefix[-1][0] if head.prefix else '',
         tried=progress.tried,
         advance_s=queueorder.find_advance(head.prompt_tokens),
+        release=admitted.release,
     )
 
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sendcounts.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sendcounts.py
@@ -67,8 +67,10 @@
 
     def find_retry_pool(self, now: float) -> ids.Pool:
         """Return the pool at which the request would run again."""
-        admitted = self._admission
-        return self._shared.participant.choose_pool(
+        admitted, participant = self._admission, self._shared.participant
+        if admitted.release is not None:
+            return participant.find_pool(admitted.service, admitted.release)
+        return participant.choose_pool(
             admitted.service, admitted.head.attempt, True, now
         )
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/rollouts/participant.py
@@ -157,13 +157,31 @@
         if rollout is None or base == rollout.order.release:
             return entry.release == base
         if entry.release == rollout.order.release:
-            return self._takes_all(rollout, now) or (
-                rollout.phase is orders.Phase.TRIAL
-                and rollout.sampling > 0
-                and now < rollout.valid_until
-            )
+            return self._takes_any(rollout, now)
         return entry.release == base and not self._takes_all(rollout, now)
 
+    def find_pool(self, service: ids.Pool, release: ids.Release) -> ids.Pool:
+        """Return the pool with the runners of a release."""
+        return (
+            ids.make_pool(service, release) if self._has_rollouts else service
+        )
+
+    def may_go_on(
+        self, service: ids.Pool, release: ids.Release, now: float
+    ) -> bool:
+        """Tell whether a stream may go on at the release that began it.
+
+        A roll-out moves no stream that has begun. A bad release gets none of
+        them, and the old one none that would be cut off when it stops.
+        """
+        rollout = self.rollouts.get(service)
+        if rollout is None:
+            return True
+        base = self._find_base(service, rollout)
+        if release == rollout.order.release and base != release:
+            return self._takes_any(rollout, now)
+        return rollout.phase is not orders.Phase.COMPLETED or release == base
+
     def is_trial(self, service: ids.Pool, pool: ids.Pool) -> bool:
         """Tell whether a pool is that of a release on trial."""
         rollout = self.rollouts.get(service)
@@ -190,6 +208,13 @@
         point = xxhash.xxh3_64_intdigest(f'trial {attempt}'.encode()) / 2**64
         return point < rollout.sampling
 
+    def _takes_any(self, rollout: Rollout, now: float) -> bool:
+        return self._takes_all(rollout, now) or (
+            rollout.phase is orders.Phase.TRIAL
+            and rollout.sampling > 0
+            and now < rollout.valid_until
+        )
+
     def _takes_all(self, rollout: Rollout, now: float) -> bool:
         # A move may have been taken back unheard; a completion may not.
         if rollout.phase is orders.Phase.MOVING:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -153,6 +153,11 @@
             registration is not None
             and registration.entry.start == entry.start
         )
+        if is_same and registration is not None:
+            # A process does not change its software.
+            entry = dataclasses.replace(
+                entry, release=registration.entry.release
+            )
         if (
             is_same
             and registration is not None
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -12,6 +12,7 @@
 from apricotlandingd.gateway.decisions import queueing
 from apricotlandingd.gateway.decisions import quotas
 from apricotlandingd.gateway.decisions import scheduler
+from apricotlandingd.gateway.decisions import slotyields
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import groups
 from apricotlandingd.gateway.hosts import mesh
@@ -138,7 +139,7 @@
         mine = self.enter(0.0, tier=1)
         self.others.ranks = [queueing.Rank(0, 0, False, 1.0)]
         self.release(full[0], 0.1)
-        self.scheduler.schedule_all(0.1 + scheduler.YIELD_TIMEOUT_S * 1.5)
+        self.scheduler.schedule_all(0.1 + slotyields.YIELD_TIMEOUT_S * 1.5)
         self.assertIsInstance(mine.decision, queueing.Grant)
 
     def test_late_request_is_rejected_at_once(self) -> None:
