Take streams up at the version that began them, at any host

Cause: nothing read Resumes, and no host told another which version began a stream. The class is the one of lost links: state that a promise needs lies at one host, and the promise holds for all.

Change: just before the first event of a stream that may be resumed goes out, its host tells four others, which a digest of organisation and attempt picks, its service and release. Whoever takes the stream up looks, asks these, then sixteen more, and binds the request to the release; whoever does not find out in 0.3 s runs nothing (503 APL616, Retry-After). Hosts that start are told what they should keep, hosts that stop hand over. A host that has seen one version for a minute needs nobody. Messages 18 to 20 are new; a host of the build before counts them as unreadable.

Ways weighed: docs/design/stream-versions.md.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -411,6 +411,13 @@
         'no runner of version {release!r}, which began the stream',
         'start the stream again, or come back after Retry-After',
     )
+    UNKNOWN_STREAM = Template(
+        'APL616',
+        503,
+        Outcome.NOT_RUN,
+        'no host knows which version began the stream',
+        'come back after Retry-After, or start the stream again',
+    )
     NO_HOSTS = Template(
         'APL612',
         503,
--- a/packages/apricotlanding/src/apricotlanding/ids.py
+++ b/packages/apricotlanding/src/apricotlanding/ids.py
@@ -42,6 +42,7 @@
     'Runner',
     'RunnerStart',
     'Shard',
+    'Stream',
     'Tier',
     'Version',
     'parse_runner',
@@ -73,6 +74,8 @@
 Key = ty.NewType('Key', str)
 # 64-bit digest of a request's content; see ``contentkeys``.
 ContentKey = ty.NewType('ContentKey', int)
+# 64-bit digest of a stream, over all attempts of its caller.
+Stream = ty.NewType('Stream', int)
 # 64-bit digest that identifies one crash of a runner on all hosts.
 Crash = ty.NewType('Crash', int)
 # ``claims/N`` or ``pool/NAME``.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -66,16 +66,17 @@
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import settingswatch
 from apricotlandingd.gateway.process import stalls
+from apricotlandingd.gateway.process import streamorigins
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.relays import relayserver
 from apricotlandingd.gateway.replication import catchup
 from apricotlandingd.gateway.replication import freshness
+from apricotlandingd.gateway.replication import peersahead
 from apricotlandingd.gateway.replication import readerchoice
 from apricotlandingd.gateway.replication import recordexchange
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import restatements
 from apricotlandingd.gateway.replication import storereader
-from apricotlandingd.gateway.replication import timing
 from apricotlandingd.gateway.requests import crashguard
 from apricotlandingd.gateway.requests import listener
 from apricotlandingd.gateway.requests import routestats
@@ -166,8 +167,8 @@
         self._exchange = recordexchange.RecordExchange(self._replica)
         self._catch_up = catchup.CatchUp(
             self._exchange,
-            self._list_ahead,
-            self._find_fetch_timeout,
+            lambda: self._peers_ahead.list_addresses(),
+            lambda: self._peers_ahead.find_fetch_timeout(),
             self._rng,
         )
         self._exchange.on_unreadable = functools.partial(
@@ -183,6 +184,9 @@
             ),
             self._rng,
         )
+        self._peers_ahead = peersahead.PeersAhead(
+            self._mesh, self._replica, self._freshness
+        )
         self._reader_choice = readerchoice.ReaderChoice(
             config.host, self._mesh
         )
@@ -303,6 +307,14 @@
             self._brittle,
             self._rng,
         )
+        self._streams = streamorigins.StreamOrigins(
+            config,
+            self.incarnation,
+            self._mesh,
+            self._directory,
+            self._telemetry,
+            self._rng,
+        )
         self._mesh.on_new_process = self._greet
         self._crash_detector = crashes.CrashDetector(
             self._directory,
@@ -320,7 +332,7 @@
             self._allowances,
             self._scheduler,
             self._mesh,
-            self._reads_store,
+            lambda now: storereader.are_all_answered(self._readers, now),
             lambda: self._is_stopping,
         )
         self._mesh.make_state = states.make_state
@@ -368,6 +380,7 @@
             brittle_reports=self._reports.brittle,
             participant=self._rollouts.participant,
             crash_guard=crash_guard,
+            resumption=self._streams.resumption,
         )
         self._listener = listener.Listener(
             shared,
@@ -394,6 +407,7 @@
             self._limits,
             self._brittle,
             self._stalls,
+            self._streams.exchange,
         )
 
     # Running.
@@ -497,25 +511,6 @@
         self._catalogue = found
         self._server.set_idle_timeout(found.limits.idle_s + 1.0)
 
-    def _reads_store(self, now: float) -> bool:
-        return all(
-            reader.last_answer_at is not None
-            and now - reader.last_answer_at < timing.MAX_STORE_ANSWER_AGE_S
-            for reader in self._readers
-        )
-
-    def _list_ahead(self) -> list[addresses.Address]:
-        return [
-            messages.read_address(peer.state.peers_address)
-            for peer in self._mesh.list_heard()
-            if records.is_ahead(peer.state.positions, self._replica.positions)
-        ]
-
-    def _find_fetch_timeout(self) -> float:
-        return min(
-            item.fetch_timeout_s for item in self._freshness.timing.values()
-        )
-
     # States of hosts.
 
     def _announce_change(self) -> None:
@@ -554,6 +549,7 @@
     def _greet(self, host: ids.Host, now: float) -> None:
         self._reports.greet(host, now)
         self._restatements.greet(host)
+        self._streams.exchange.greet(host, now)
 
     # Runners.
 
@@ -586,6 +582,7 @@
             entries = self._directory.list_all()
             known = {entry.start for entry in entries}
             self._rests.expire(now)
+            self._streams.tidy(now)
             self._relaying.retain_only(entries)
             self._health.retain_only(known)
             self._limits.retain_only(known)
@@ -634,6 +631,7 @@
         plan = shutdown.make_plan(grace_s, clocks.read_monotonic())
         self._is_stopping = True
         self._mesh.request_update()
+        self._streams.exchange.hand_over(clocks.read_monotonic())
         await draining.drain(
             self._server, self._listener, self._relaying.server, plan
         )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gauges.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gauges.py
@@ -14,6 +14,7 @@
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import rests
 from apricotlandingd.gateway.runners import statedlimits
+from apricotlandingd.gateway.streams import originexchange
 
 __all__ = ['make_gauges']
 
@@ -32,6 +33,7 @@
     limits: statedlimits.StatedLimits,
     brittle: brittleness.Brittleness,
     process_stalls: stalls.StallDetector,
+    stream_origins: originexchange.OriginExchange,
 ) -> Gauges:
     """Return the functions that read the gauges, by name."""
     return {
@@ -50,6 +52,7 @@
         'resting_runners': lambda: own_rests.count(clocks.read_monotonic()),
         'limited_runners': lambda: len(limits.list_limited()),
         'brittle_runners': lambda: len(brittle.list_brittle()),
+        'stream_origins': stream_origins.count,
         'stalls_total': lambda: process_stalls.count,
         'stalled_seconds_total': lambda: process_stalls.seconds,
     }
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -26,7 +26,7 @@
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import timing
 
-__all__ = ['StoreReader']
+__all__ = ['StoreReader', 'are_all_answered']
 
 # Delay before the retry of a failed read; it doubles up to the limit.
 INITIAL_RETRY_DELAY_S = 0.1
@@ -284,3 +284,14 @@
         self._is_lost = False
         self._on_outage(now)
         eliot.log_message('gateway:store_regained', topic=self._topic)
+
+
+def are_all_answered(
+    readers: collections.abc.Iterable[StoreReader], now: float
+) -> bool:
+    """Tell whether the store has answered all readers a short time ago."""
+    return all(
+        reader.last_answer_at is not None
+        and now - reader.last_answer_at < timing.MAX_STORE_ANSWER_AGE_S
+        for reader in readers
+    )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -182,6 +182,10 @@
             )
 
     async def _serve(self) -> None:
+        problem = await self._shared.resumption.bind(self._admission)
+        if problem is not None:
+            await self._refuse(problem)
+            return
         while True:
             decision = await self._obtain_place()
             if isinstance(decision, errors.Problem):
@@ -541,6 +545,7 @@
         # From the first event on it goes on at this version only.
         self._admission.release = entry.release
         if before is None:
+            self._shared.resumption.publish(self._admission, entry.release)
             return
         self._shared.telemetry.count('streams_resumed_total')
         eliot.log_message(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/sharedstate.py
@@ -21,6 +21,7 @@
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.relays import runnerpaths
 from apricotlandingd.gateway.requests import crashguard
+from apricotlandingd.gateway.requests import resumption
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.rollouts import participant
 from apricotlandingd.gateway.runners import brittleness
@@ -64,3 +65,4 @@
     brittle: brittleness.Brittleness
     brittle_reports: brittlemessages.BrittleReports
     participant: participant.Participant
+    resumption: resumption.Resumption
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -115,6 +115,38 @@
         self.assertFalse(self.participant.may_use(make_entry(0, OLD), 0.5))
         self.assertTrue(self.participant.may_use(make_entry(0, NEW), 0.5))
 
+    def may_go_on(self, release: ids.Release, now: float = 0.5) -> bool:
+        return self.participant.may_go_on(SERVICE, release, now)
+
+    def test_roll_out_moves_no_stream_that_has_begun(self) -> None:
+        """Guards against streams that a roll-out mixes or breaks off."""
+        self.add_new()
+        self.assertTrue(self.may_go_on(OLD))
+        rollout = self.order()
+        rollout.sampling, rollout.valid_until = 0.1, 1.0
+        for phase in (orders.Phase.TRIAL, orders.Phase.MOVING):
+            rollout.phase = phase
+            self.assertEqual(
+                [True, True], [self.may_go_on(item) for item in (OLD, NEW)]
+            )
+        pool = self.participant.find_pool(SERVICE, OLD)
+        self.assertEqual(ids.make_pool(SERVICE, OLD), pool)
+
+    def test_stream_does_not_go_on_at_a_release_that_ends(self) -> None:
+        """Guards against streams of a bad release, or of one that stops."""
+        self.add_new()
+        rollout = self.order()
+        rollout.sampling, rollout.valid_until = 0.1, 1.0
+        self.assertFalse(self.may_go_on(NEW, 1.5))
+        rollout.phase = orders.Phase.ROLLED_BACK
+        self.assertEqual(
+            [True, False], [self.may_go_on(item) for item in (OLD, NEW)]
+        )
+        rollout.phase = orders.Phase.COMPLETED
+        self.assertEqual(
+            [False, True], [self.may_go_on(item) for item in (OLD, NEW)]
+        )
+
     def test_host_that_starts_in_a_trial_keeps_the_old_release(self) -> None:
         """A host took the release with more runners for the one in force."""
         self.add_new(9)
