Log the parts of prompts that runners' crashes cut

Between a part that crashes runners and runners that end by themselves the logs could not tell: gateway:runner_cut named contents only. It names the keys of the parts now, but the last one of each prompt, which belongs to the request itself. A key has the organisation in it. A host that makes a call for another one reads the parts from the call's headers. No decision changes.

--- a/packages/apricotlanding/src/apricotlanding/contentkeys.py
+++ b/packages/apricotlanding/src/apricotlanding/contentkeys.py
@@ -9,11 +9,13 @@
 
 from apricotlanding import ids
 
-__all__ = ['derive_key', 'format_key']
+__all__ = ['derive_key', 'derive_part_keys', 'format_key']
 
 KEY_BYTES = 8
 # Bytes that state the length of a part.
 LENGTH_BYTES = 8
+# Parts of one prompt that have keys; prompts have a few.
+MAX_PARTS = 128
 
 
 def derive_key(
@@ -34,6 +36,19 @@
     return ids.ContentKey(int.from_bytes(digest.digest()))
 
 
+def derive_part_keys(
+    organisation: ids.Organisation | None, parts: list[str]
+) -> frozenset[ids.ContentKey]:
+    """Return the keys of the parts of a prompt that other prompts may have.
+
+    The last part belongs to the request itself.
+    """
+    return frozenset(
+        derive_key(organisation, 'part', part.encode('utf-8', 'replace'))
+        for part in dict.fromkeys(parts[:-1][:MAX_PARTS])
+    )
+
+
 def format_key(key: ids.ContentKey) -> str:
     """Return the key as it stands in the log."""
     return f'{key:0{2 * KEY_BYTES}x}'
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/dialect.py
@@ -210,6 +210,9 @@
     def limit_time(self, headers: HeaderList, left_s: float) -> HeaderList:
         """Return the headers of a call with another time that is left."""
 
+    def read_part_keys(self, headers: HeaderList) -> frozenset[ids.ContentKey]:
+        """Return the keys of the parts in the headers of a call."""
+
     def read_answer(self, status: int, headers: HeaderList) -> AnswerHead:
         """Parse the head of a runner's answer."""
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
@@ -297,7 +297,12 @@
     ) -> None:
         if isinstance(error, webclient.Broken):
             await self._tools.crash_guard.report_cut(
-                entry, ids.ContentKey(call.content), is_awaited=True
+                entry,
+                ids.ContentKey(call.content),
+                is_awaited=True,
+                part_keys=self._tools.http_dialect.read_part_keys(
+                    call.headers
+                ),
             )
         self._is_calling = False
         detail = repr(error)[: relayframes.MAX_DETAIL_CHARS]
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -68,6 +68,15 @@
             self.body,
         )
 
+    @functools.cached_property
+    def part_keys(self) -> frozenset[ids.ContentKey]:
+        """The keys of the parts that other prompts may share."""
+        holder = self.organisation
+        return contentkeys.derive_part_keys(
+            None if holder is None else holder.name,
+            [part for part, _ in self.head.prefix],
+        )
+
     def return_allowance(self) -> None:
         """Return what was taken from the allowance; nothing has run."""
         question, self._allowance_request = self._allowance_request, None
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/crashguard.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/crashguard.py
@@ -37,6 +37,10 @@
     def content_key(self) -> ids.ContentKey:
         """The key that all attempts with this content share."""
 
+    @property
+    def part_keys(self) -> frozenset[ids.ContentKey]:
+        """The keys of the parts that other prompts may share."""
+
 
 @ty.final
 class CrashGuard:
@@ -98,13 +102,16 @@
         content_key: ids.ContentKey | None,
         is_awaited: bool,
         on_cause: crashes.OnCause | None = None,
+        part_keys: frozenset[ids.ContentKey] = frozenset(),
     ) -> None:
         """Report that a runner cut a request, and wait for the cause if asked.
 
         The wait is for a request that may be sent again. Without
         ``content_key`` the runner only fell silent.
         """
-        finished = self._detector.report_cut(entry, content_key, on_cause)
+        finished = self._detector.report_cut(
+            entry, content_key, on_cause, part_keys
+        )
         if not is_awaited:
             return
         with anyio.move_on_after(CAUSE_TIMEOUT_S):
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnernotes.py
@@ -124,6 +124,7 @@
             self._admission.content_key if is_cut else None,
             is_awaited,
             functools.partial(self._note_cause, entry, repr(error)),
+            self._admission.part_keys,
         )
 
     def _note_cause(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
@@ -59,6 +59,8 @@
 
     entry: dialect.RunnerEntry
     keys: set[ids.ContentKey] = dataclasses.field(default_factory=set)
+    # Keys of the parts of their prompts.
+    parts: set[ids.ContentKey] = dataclasses.field(default_factory=set)
     # Called with the cause.
     listeners: list[OnCause] = dataclasses.field(default_factory=list)
     finished: anyio.Event = dataclasses.field(default_factory=anyio.Event)
@@ -116,9 +118,12 @@
         entry: dialect.RunnerEntry,
         key: ids.ContentKey | None,
         on_cause: OnCause | None = None,
+        parts: frozenset[ids.ContentKey] = frozenset(),
     ) -> anyio.Event:
         """Examine why a runner cut a request, or fell silent (no ``key``).
 
+        ``parts`` are the keys of the parts of its prompt.
+
         Returns an event that is set when the cause is known; ``on_cause`` is
         called just before.
         """
@@ -130,6 +135,7 @@
             self._has_new.set()
         if key is not None and len(inquiry.keys) < MAX_CUT_REQUESTS:
             inquiry.keys.add(key)
+            inquiry.parts |= parts
         if on_cause is not None:
             inquiry.listeners.append(on_cause)
         return inquiry.finished
@@ -181,6 +187,9 @@
             contents=[
                 contentkeys.format_key(key) for key in sorted(inquiry.keys)
             ],
+            parts=[
+                contentkeys.format_key(key) for key in sorted(inquiry.parts)
+            ],
         )
         if cause is cuts.Cause.CRASH and inquiry.keys:
             self._telemetry.count('runner_crashes_total')
