Refuse requests with a part of their prompts that crashes runners

The class: a key that is narrower than the fault. Ruled out: late blame, by the logs (lists agree within 10 ms); runners that end by themselves, by the loopback scene, where only requests with the part end any.

Change: the parts of all requests that a crash cut are blamed, but the last one of each, in rows of their own (message 21). Complete answers clear parts, also ahead of the crash; a request is refused (503 APL617) for a part unless one that it lacks explains the crashes as well; a request that was cut is not sent on if one of its parts has two crashes. After 20 s without a crash one host tries the part, and after 40 s another one. Contents are decided as before.

--- a/packages/apricotlanding/src/apricotlanding/crashreports.py
+++ b/packages/apricotlanding/src/apricotlanding/crashreports.py
@@ -61,14 +61,17 @@
         host: ids.Host,
         rng: random.Random,
         forwards: bool = False,
+        subject: str = 'content',
     ) -> None:
         """Share a quarantine.
 
         ``list_trial_hosts`` returns a number of hosts for a name, the same on
         all hosts. With ``forwards``, rows that are new here are passed on,
-        for systems in which a host reaches only some others.
+        for systems in which a host reaches only some others. ``subject`` is
+        the log field of what is blamed.
         """
         self._forwards = forwards
+        self._subject = subject
         self._quarantine = shared
         self._peers = peers
         self._list_trial_hosts = list_trial_hosts
@@ -181,13 +184,14 @@
                 self._logged.add(key)
                 eliot.log_message(
                     'quarantine:begun',
-                    content=contentkeys.format_key(key),
+                    **{self._subject: contentkeys.format_key(key)},
                     **describe_verdict(verdict),
                 )
             if verdict is None and key in self._logged:
                 self._logged.remove(key)
                 eliot.log_message(
-                    'quarantine:ended', content=contentkeys.format_key(key)
+                    'quarantine:ended',
+                    **{self._subject: contentkeys.format_key(key)},
                 )
 
     def _has_trial(
--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -418,6 +418,14 @@
         'no host knows which version began the stream',
         'come back after Retry-After, or start the stream again',
     )
+    BAD_PART = Template(
+        'APL617',
+        503,
+        Outcome.NOT_RUN,
+        'a part of the prompt crashed the runners that answered it',
+        'send prompts without this part; others with it are not sent to '
+        'runners until Retry-After',
+    )
     NO_HOSTS = Template(
         'APL612',
         503,
--- a/packages/apricotlanding/src/apricotlanding/quarantine.py
+++ b/packages/apricotlanding/src/apricotlanding/quarantine.py
@@ -127,7 +127,7 @@
                 for blame in _write_rows(key, content, now)
                 if not blame.is_cleared
             ),
-            is_contested=self._is_contested(key, content),
+            is_contested=bool(self.list_rivals(key)),
             left_s=left_s,
         )
 
@@ -231,8 +231,18 @@
         for key in least:
             del self._contents[key]
 
-    def _is_contested(self, key: ids.ContentKey, content: _Content) -> bool:
+    def count_crashes(self, key: ids.ContentKey) -> int:
+        """Return the crashes that a request is blamed for."""
+        content = self._contents.get(key)
+        return 0 if content is None else content.count_crashes()
+
+    def list_rivals(self, key: ids.ContentKey) -> set[ids.ContentKey]:
+        """Return others that may be the cause of a request's crashes."""
+        content = self._contents.get(key)
+        if content is None:
+            return set()
         own = content.list_crashes()
+        found: set[ids.ContentKey] = set()
         for other_key, other in self._contents.items():
             if other_key == key:
                 continue
@@ -240,8 +250,8 @@
             if len(others) < CRASH_LIMIT:
                 continue
             if len(own - others) < CRASH_LIMIT:
-                return True
-        return False
+                found.add(other_key)
+        return found
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/crashmessages.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/hosts/crashmessages.py
@@ -11,7 +11,13 @@
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.hosts import messages
 
-__all__ = ['BlameRow', 'CrashReport', 'MeshPeers', 'read_report']
+__all__ = [
+    'BlameRow',
+    'CrashReport',
+    'MeshPeers',
+    'PartReport',
+    'read_report',
+]
 
 # Longest host name, characters.
 MAX_HOST_CHARS: ty.Final = 64
@@ -38,7 +44,18 @@
     ]
 
 
-def read_report(report: CrashReport) -> list[quarantine.Blame]:
+@messages.registry.register(21)
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartReport:
+    """Rows of parts of prompts."""
+
+    rows: ty.Annotated[
+        list[BlameRow], pydantic.Field(max_length=crashreports.MAX_ROWS)
+    ]
+
+
+def read_report(report: CrashReport | PartReport) -> list[quarantine.Blame]:
     """Return the rows of a message."""
     return [
         quarantine.Blame(
@@ -56,9 +73,14 @@
 class MeshPeers:
     """The other hosts, reached by datagram."""
 
-    def __init__(self, hosts: mesh.Mesh) -> None:
-        """Send by a mesh."""
+    def __init__(
+        self,
+        hosts: mesh.Mesh,
+        report_type: type[CrashReport] | type[PartReport] = CrashReport,
+    ) -> None:
+        """Send reports of a type by a mesh."""
         self._hosts = hosts
+        self._report_type = report_type
 
     def list_hosts(self) -> list[ids.Host]:
         """Return the hosts that are known."""
@@ -69,4 +91,4 @@
     ) -> None:
         """Send some rows to hosts; they may be lost."""
         rows = [BlameRow(*blame) for blame in blames]
-        self._hosts.send_to_all(CrashReport(rows), hosts)
+        self._hosts.send_to_all(self._report_type(rows), hosts)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -77,7 +77,6 @@
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import restatements
 from apricotlandingd.gateway.replication import storereader
-from apricotlandingd.gateway.requests import crashguard
 from apricotlandingd.gateway.requests import listener
 from apricotlandingd.gateway.requests import routestats
 from apricotlandingd.gateway.requests import sharedstate
@@ -323,6 +322,7 @@
             self._telemetry,
             self._relaying.paths,
             self._brittle.is_brittle,
+            self._reports.parts.record_crash,
         )
         states = hoststates.HostStateBuilder(
             config,
@@ -337,8 +337,8 @@
         )
         self._mesh.make_state = states.make_state
         self._mesh.make_change = states.make_change
-        crash_guard = crashguard.CrashGuard(
-            self._reports.crashes, self._crash_detector, self._telemetry
+        crash_guard = self._reports.make_guard(
+            self._crash_detector, self._telemetry
         )
         self._relaying.build_server(
             relayserver.Tools(
@@ -399,7 +399,7 @@
             self._listener,
             self._mesh,
             self._relaying,
-            self._reports.crashes,
+            self._reports,
             self._rollouts,
             self._replica,
             self._directory,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gauges.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gauges.py
@@ -3,9 +3,9 @@
 import collections.abc
 
 from apricotlanding import clocks
-from apricotlanding import crashreports
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.process import relaying
+from apricotlandingd.gateway.process import reports
 from apricotlandingd.gateway.process import stalls
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.requests import listener
@@ -25,7 +25,7 @@
     requests: listener.Listener,
     hosts: mesh.Mesh,
     relays: relaying.Relaying,
-    crash_reports: crashreports.CrashReports,
+    all_reports: reports.Reports,
     all_rollouts: rollouts.Rollouts,
     replica: records.Replica,
     runners: directory.Directory,
@@ -43,8 +43,10 @@
         'services_without_links': relays.links.count_cut,
         'relayed_for_others': lambda: relays.server.active,
         'relayed_for_others_total': lambda: relays.server.calls,
-        'quarantined_contents': crash_reports.count_quarantined,
-        'blamed_contents': crash_reports.count_blamed,
+        'quarantined_contents': all_reports.crashes.count_quarantined,
+        'blamed_contents': all_reports.crashes.count_blamed,
+        'quarantined_parts': all_reports.part_reports.count_quarantined,
+        'blamed_parts': all_reports.part_reports.count_blamed,
         'rollouts_open': all_rollouts.count_open,
         'rollout_trial_requests': all_rollouts.count_trials,
         'store_era': replica.find_era,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/reports.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/reports.py
@@ -5,6 +5,7 @@
 
 from apricotlanding import crashreports
 from apricotlanding import ids
+from apricotlanding import partblame
 from apricotlanding import quarantine
 from apricotlandingd.gateway.hosts import brittlemessages
 from apricotlandingd.gateway.hosts import candidates
@@ -12,7 +13,10 @@
 from apricotlandingd.gateway.hosts import departuremessages
 from apricotlandingd.gateway.hosts import limitmessages
 from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.process import telemetry
+from apricotlandingd.gateway.requests import crashguard
 from apricotlandingd.gateway.runners import brittleness
+from apricotlandingd.gateway.runners import crashes
 from apricotlandingd.gateway.runners import directory
 from apricotlandingd.gateway.runners import startindex
 from apricotlandingd.gateway.runners import statedlimits
@@ -42,6 +46,18 @@
             host,
             rng,
         )
+        parts = quarantine.Quarantine(host)
+        self.part_reports = crashreports.CrashReports(
+            parts,
+            crashmessages.MeshPeers(peers, crashmessages.PartReport),
+            ranked.list_first,
+            host,
+            rng,
+            subject='part',
+        )
+        self.parts = partblame.PartBlame(
+            parts, self.part_reports, ranked.list_first, host
+        )
         self.limits = limitmessages.LimitReports(
             limits, startindex.StartIndex(runners), peers
         )
@@ -57,6 +73,12 @@
                 crashmessages.read_report(report), now
             ),
         )
+        peers.subscribe(
+            crashmessages.PartReport,
+            lambda report, now: self.parts.handle_blames(
+                crashmessages.read_report(report), now
+            ),
+        )
         peers.subscribe(limitmessages.LimitReport, self.limits.handle_report)
         peers.subscribe(
             brittlemessages.BrittleReport, self.brittle.handle_report
@@ -65,9 +87,20 @@
             departuremessages.DepartureReport, self.departures.handle_report
         )
 
+    def make_guard(
+        self,
+        detector: crashes.CrashDetector,
+        counts: telemetry.MetricRegistry,
+    ) -> crashguard.CrashGuard:
+        """Return the guard that refuses requests which crash runners."""
+        return crashguard.CrashGuard(
+            self.crashes, self.parts, detector, counts
+        )
+
     def greet(self, host: ids.Host, now: float) -> None:
         """Tell a host that has just started what is known."""
         self.crashes.greet(host, now)
+        self.part_reports.greet(host, now)
         self.limits.greet(host, now)
         self.brittle.greet(host, now)
         self.departures.greet(host)
@@ -75,5 +108,6 @@
     def tick(self, now: float) -> None:
         """Send the reports that are due."""
         self.crashes.tick(now)
+        self.part_reports.tick(now)
         self.limits.tick(now)
         self.brittle.tick(now)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/crashguard.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/crashguard.py
@@ -14,6 +14,7 @@
 from apricotlanding import crashreports
 from apricotlanding import errors
 from apricotlanding import ids
+from apricotlanding import partblame
 from apricotlanding import quarantine
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.process import telemetry
@@ -46,30 +47,42 @@
 class CrashGuard:
     """Refuses requests in quarantine, and reports how runners end.
 
-    While no request is blamed, nothing is computed for a request.
+    While no request is blamed, no content key is computed for a request.
     """
 
     def __init__(
         self,
         reports: crashreports.CrashReports,
+        parts: partblame.PartBlame,
         detector: crashes.CrashDetector,
         counts: telemetry.MetricRegistry,
     ) -> None:
-        """Use this host's quarantine and crash detector."""
+        """Use this host's quarantines and crash detector."""
         self._reports = reports
+        self._parts = parts
         self._detector = detector
         self._telemetry = counts
 
     def find_problem(
-        self, admitted: CheckedRequest, now: float
+        self, admitted: CheckedRequest, now: float, was_sent: bool = False
     ) -> errors.Problem | None:
-        """Return the problem of a request in quarantine."""
-        if self._reports.is_empty():
-            return None
-        verdict = self._reports.find_verdict(admitted.content_key, now)
-        if verdict is None:
-            return None
-        return self._refuse(admitted, verdict)
+        """Return the problem of a request in quarantine.
+
+        ``was_sent`` tells that a runner has failed it before.
+        """
+        if not self._reports.is_empty():
+            verdict = self._reports.find_verdict(admitted.content_key, now)
+            if verdict is not None:
+                return self._refuse(admitted, verdict)
+        found = self._parts.find(admitted.part_keys, now)
+        if found is not None:
+            return self._refuse_part(admitted, found)
+        if was_sent and not self._parts.may_resend(admitted.part_keys):
+            # It may end the next runner too.
+            return errors.make_problem(
+                errors.Kind.BAD_PART, CONTESTED_RETRY_AFTER_S
+            )
+        return None
 
     def admit_send(
         self, admitted: CheckedRequest, now: float
@@ -79,22 +92,24 @@
         Called just before each send: a contested request that is sent uses
         up this host's trial.
         """
-        if self._reports.is_empty():
-            return None
-        verdict = self._reports.take_send(admitted.content_key, now)
-        if verdict is None:
-            return None
-        return self._refuse(admitted, verdict)
+        if not self._reports.is_empty():
+            verdict = self._reports.take_send(admitted.content_key, now)
+            if verdict is not None:
+                return self._refuse(admitted, verdict)
+        found = self._parts.take_send(admitted.part_keys, now)
+        if found is not None:
+            return self._refuse_part(admitted, found)
+        return None
 
     def note_answer(
         self, entry: dialect.RunnerEntry, admitted: CheckedRequest
     ) -> None:
         """Note that a runner has answered a request completely."""
         self._detector.note_answer(entry.start)
+        now = clocks.read_monotonic()
+        self._parts.record_answer(admitted.part_keys, now)
         if not self._reports.is_empty():
-            self._reports.record_completion(
-                admitted.content_key, clocks.read_monotonic()
-            )
+            self._reports.record_completion(admitted.content_key, now)
 
     async def report_cut(
         self,
@@ -134,3 +149,16 @@
             else verdict.left_s,
             crashes=len(verdict.blames),
         )
+
+    def _refuse_part(
+        self, admitted: CheckedRequest, found: partblame.PartVerdict
+    ) -> errors.Problem:
+        self._telemetry.count('part_refusals_total')
+        eliot.log_message(
+            'quarantine:refused',
+            attempt=admitted.head.attempt,
+            part=contentkeys.format_key(found.key),
+            prompt=[part for part, _ in admitted.head.prefix],
+            **crashreports.describe_verdict(found.verdict),
+        )
+        return errors.make_problem(errors.Kind.BAD_PART, found.verdict.left_s)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -229,7 +229,7 @@
         guard = self._shared.crash_guard
         now = clocks.read_monotonic()
         problem = guard.find_problem(
-            self._admission, now
+            self._admission, now, self._sends.count > 0
         ) or self._shared.paths.find_problem(self._admission, now)
         if problem is not None:
             return problem
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
@@ -27,6 +27,8 @@
 # Requests cut at one runner beyond this number are not examined: a runner
 # runs fewer at once.
 MAX_CUT_REQUESTS = 256
+# Parts that are blamed for one crash.
+MAX_CUT_PARTS = 256
 
 OnCause = collections.abc.Callable[[cuts.Cause], None]
 
@@ -93,6 +95,9 @@
         is_brittle: collections.abc.Callable[
             [ids.RunnerStart], bool
         ] = lambda start: False,
+        on_part_crash: collections.abc.Callable[
+            [ids.Crash, set[ids.ContentKey], float], None
+        ] = lambda crash, parts, now: None,
     ) -> None:
         """Start without cut requests.
 
@@ -100,11 +105,13 @@
         is asked. ``is_brittle`` tells whether a runner falls over under load,
         which no request is blamed for. ``is_current`` tells whether the
         registrations are recent. ``on_crash`` is called once for each crash
-        that is found, with the content keys of the requests that it cut.
+        that is found, with the content keys of the requests that it cut, and
+        ``on_part_crash`` with the keys of the parts of their prompts.
         """
         self._runners = runners
         self._is_current = is_current
         self._on_crash = on_crash
+        self._on_part_crash = on_part_crash
         self._telemetry = counts
         self._links = links or _OwnLinkOnly()
         self._is_brittle = is_brittle
@@ -136,6 +143,10 @@
         if key is not None and len(inquiry.keys) < MAX_CUT_REQUESTS:
             inquiry.keys.add(key)
             inquiry.parts |= parts
+            if len(inquiry.parts) > MAX_CUT_PARTS:
+                # The same ones at each crash.
+                kept = sorted(inquiry.parts)[:MAX_CUT_PARTS]
+                inquiry.parts = set(kept)
         if on_cause is not None:
             inquiry.listeners.append(on_cause)
         return inquiry.finished
@@ -193,7 +204,10 @@
         )
         if cause is cuts.Cause.CRASH and inquiry.keys:
             self._telemetry.count('runner_crashes_total')
-            self._on_crash(self._identify(start), inquiry.keys, now)
+            crash = self._identify(start)
+            self._on_crash(crash, inquiry.keys, now)
+            if inquiry.parts:
+                self._on_part_crash(crash, inquiry.parts, now)
         for listener in inquiry.listeners:
             listener(cause)
         inquiry.finished.set()
