Take the rest of an answer from no other run

What callers got: an answer joined from two runs. A plain answer of more than 256 KiB is forwarded as it arrives; where its runner broke off, a repeatable request went to another runner, whose answer was read as the rest of a stream. Found by the test of bodies without end.

Cause: whether the answer has begun stood for whether it is a stream that may go on. Such an answer ends without its end marker now.

test_rest_of_an_answer_is_not_taken_from_another_run: bytes of both runs before, of one after, whole only if all of it came.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -194,6 +194,9 @@
             end = await self._send_once(decision)
             if end is _SendResult.DONE:
                 return
+            if self._reply.has_begun and self._reader is None:
+                # Of an answer that is no stream, no other run has the rest.
+                break
             is_repeat = end is _SendResult.FAILED
             now = clocks.read_monotonic()
             if not self._sends.may_send_again(is_repeat, now):
