Bound answers whose bytes do not end

News of the users: bytes that are no answer may come without end, in a head or a body, until the caller closes. Heads were bounded by the parser; three kinds of bytes were not: interim answers (a request waited 3.1 s, to its deadline), the body of an answer that says that nothing was run (to its deadline), and a sealed body without a length (forwarded to the deadline, and its runner chosen again).

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -32,6 +32,7 @@
 from apricotlandingd.gateway.relays import relayclient
 from apricotlandingd.gateway.relays import runnerpaths
 from apricotlandingd.gateway.requests import admission
+from apricotlandingd.gateway.requests import discarding
 from apricotlandingd.gateway.requests import inactivity
 from apricotlandingd.gateway.requests import inactivitylimit
 from apricotlandingd.gateway.requests import poolchoice
@@ -439,7 +440,9 @@
                 # and the registration is out of date.
                 self._sends.count -= 1
                 self._notes.note(entry, observations.Kind.GONE)
-            await _discard_body(answer)
+            if not await discarding.discard_body(answer):
+                detail = 'an answer that does not end'
+                self._notes.note_failure(entry, True, detail)
             return _SendResult.NOT_RUN
         if not head.is_sealed:
             raise webclient.Broken(f'status {head.status} without a mark')
@@ -590,8 +593,3 @@
             ),
             now,
         )
-
-
-async def _discard_body(answer: runnerpaths.AnyAnswer) -> None:
-    async for _ in answer.iterate():
-        continue
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
@@ -49,6 +49,10 @@
 # repeated. Runners occasionally drop idle connections; a request that is lost
 # with one may have run and cannot be sent again.
 MAX_UNREPEATABLE_IDLE_S = 1.0
+# Most bytes of an answer without a length, and interim answers before it:
+# bytes that are no answer may come without end.
+MAX_UNSIZED_BYTES = 32 * 1024 * 1024
+MAX_INTERIM_ANSWERS = 16
 # Highest status code of the five classes (RFC 9110, 15).
 MAX_STATUS = 599
 # Control characters that a header value must not hold (RFC 9110, 5.5); the
@@ -94,15 +98,25 @@
         # caller.
         self.idle_s: float | None = None
         self._connection = connection
+        self._has_length = any(
+            name == b'content-length' for name, _ in self.headers
+        )
 
     async def iterate(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the body as it arrives; raises Broken if it is cut."""
+        """Yield the body as it arrives.
+
+        Raises Broken if it is cut, and Garbled if it seems to have no end.
+        """
+        size = 0
         while True:
             event = await self._connection.read_event()
             if isinstance(event, h11.EndOfMessage):
                 self.is_complete = True
                 return
             if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > MAX_UNSIZED_BYTES and not self._has_length:
+                    raise webclient.Garbled(f'a body of {size} bytes')
                 yield bytes(event.data)
 
 
@@ -352,11 +366,12 @@
         self._is_sent = True
 
     async def read_head(self) -> h11.Response:
-        while True:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
             event = await self.read_event()
             if isinstance(event, h11.Response):
                 _check_head(event)
                 return event
+        raise webclient.Garbled('interim answers without end')
 
     async def read_event(self) -> h11.Event:
         try:
