List open runners only for requests that wait for a release

Found in the last reading: each message to peers listed the runners of a service once for every waiting request, also where none waits for a release. The decisions are the same; tests/test_release_queues.py and test_gateway_decisions pass.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/releasequeues.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/releasequeues.py
@@ -18,16 +18,16 @@
 
 def find_queue(
     service: ids.Pool,
-    request: queueing.QueuedRequest,
+    release: ids.Release,
     entries: list[dialect.RunnerEntry],
 ) -> ids.Pool:
-    """Return the name under which hosts list a request as waiting.
+    """Return the name under which requests for a release are listed.
 
     ``entries`` are the runners of the service.
     """
-    if request.release is None or len(_list_releases(entries)) < 2:
+    if len(_list_releases(entries)) < 2:
         return service
-    return ids.make_pool(service, request.release)
+    return ids.make_pool(service, release)
 
 
 def list_bound(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -235,9 +235,13 @@
         found: dict[ids.Pool, list[queueing.Rank]] = {}
         for service, requests in self._waiting.items():
             for request in requests:
-                pool = releasequeues.find_queue(
-                    service, request, self._runners.list_open(service)
-                )
+                pool = service
+                if request.release is not None:
+                    pool = releasequeues.find_queue(
+                        service,
+                        request.release,
+                        self._runners.list_open(service),
+                    )
                 found.setdefault(pool, []).append(request.find_rank(now))
         for ranks in found.values():
             ranks.sort()
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/slotyields.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/slotyields.py
@@ -41,6 +41,8 @@
     ) -> set[ids.Release]:
         """Return the releases whose free slots peers may take first."""
         found: set[ids.Release] = set()
+        if not queue.bound:
+            return found
         rank = request.find_rank(now)
         for release in queue.bound:
             ahead = queue.count_bound_ahead(release, rank)
