--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/scheduler.py
@@ -206,10 +206,7 @@
         now: float,
         release: ids.Release | None = None,
     ) -> bool:
-        """Return whether a runner that was not tried has a free slot.
-
-        With ``release``, only runners of that release count.
-        """
+        """Return whether an untried runner, of a release, has a free slot."""
         return any(
             entry.start not in tried
             and (release is None or entry.release == release)
@@ -227,11 +224,7 @@
     # Reports to peers.
 
     def list_waiting(self, now: float) -> dict[ids.Pool, list[queueing.Rank]]:
-        """Return the sorted ranks of the waiting requests, by service.
-
-        Requests that wait for one of several releases are listed as those of
-        its pool: hosts leave them no slots of other runners.
-        """
+        """Return the sorted ranks of the waiting requests, by queue."""
         found: dict[ids.Pool, list[queueing.Rank]] = {}
         for service, requests in self._waiting.items():
             for request in requests:
