Let callers that name no attempt go on where one version serves

A caller that names an attempt is refused as before while its version is not known; one that names none goes on if this host has seen one version, and is refused where it has seen several. test_callers_that_name_no_attempt failed before (503), and passes.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/resumption.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/resumption.py
@@ -83,6 +83,9 @@
         now = clocks.read_monotonic()
         if found is None:
             release = self._history.find_only(admitted.service, now)
+            if head.resumes and not self._history.has_watched(now):
+                # It may have begun at a version that left before.
+                release = None
             if release is None:
                 return self._refuse(admitted, 'unknown', now - began_at)
             admitted.release = release
