--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shlex
 import shutil
 import signal
@@ -34,6 +35,7 @@
 # Exit codes of a script.
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 START_TIMEOUT_S = 20.0
+PLAY_TIMEOUT_S = 110
 FIRST_STORE_IP = '127.0.20.1'
 _OFFSETS = struct.Struct('>QQ')
 _LENGTH = struct.Struct('>I')
@@ -377,14 +379,13 @@
 
 
 def find_ports(ip: str, count: int) -> int:
-    """Return the first of some consecutive free ports."""
+    """Return the first of some consecutive free ports.
+
+    They are below the range of ports for outgoing connections.
+    """
     for _ in range(200):
-        with socket.socket() as probe:
-            probe.bind((ip, 0))
-            first = probe.getsockname()[1]
-        if first + count < 65_000 and all(
-            _is_free(ip, first + offset) for offset in range(count)
-        ):
+        first = random.randrange(15_000, 32_000 - count)
+        if all(_is_free(ip, first + offset) for offset in range(count)):
             return first
     raise CannotRun('no free ports')
 
@@ -439,7 +440,7 @@
         roles = tomllib.loads(deploy)['roles']
         self._command = shlex.split(roles['gateway']['run'])
         # Front, readiness, control, and the range between daemons.
-        self._ports = find_ports('127.0.0.1', 8)
+        self._ports = find_ports('127.0.21.1', 8)
         self._store_address = ''
         self._store_server = 0
 
@@ -755,11 +756,21 @@
     record.say(f'TROUBLE={int(is_troubled())}')
 
     async def play_awhile() -> bool:
-        return await asyncio.wait_for(play(record), 110)
+        # A script that is terminated ends the processes that it started, too.
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(play(record), PLAY_TIMEOUT_S)
 
     try:
         is_broken = asyncio.run(play_awhile())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (
+        CannotRun,
+        TimeoutError,
+        OSError,
+        asyncio.CancelledError,
+    ) as error:
         record.say(f'the case could not run: {error!r}')
         return CANNOT_RUN
     record.say('the rule was broken' if is_broken else 'the rule held')
