Report the memory of the process beside what is counted

Logs and metrics could not tell where a host's memory is: the gauges of what is counted were there only with the contract "pressure", and nothing said what the process holds.

The gauge process_bytes is the anonymous memory of the process. The gauges of what is held are reported on every host; held_bytes is 0 on hosts that state no memory or do not count yet.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gauges.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gauges.py
@@ -7,6 +7,7 @@
 from apricotlandingd.gateway.decisions import serviceshares
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.process import placebuilding
+from apricotlandingd.gateway.process import processmemory
 from apricotlandingd.gateway.process import relaying
 from apricotlandingd.gateway.process import reports
 from apricotlandingd.gateway.process import stalls
@@ -73,8 +74,9 @@
         'stalls_total': lambda: process_stalls.count,
         'stalled_seconds_total': lambda: process_stalls.seconds,
     }
+    found |= _make_memory_gauges(requests.held_answers)
     if placing.knowledge.contention.is_configured:
-        found |= _make_memory_gauges(placing, requests.held_answers)
+        found |= _make_runner_memory_gauges(placing)
     if backlogs is not None:
         found['largest_allowance_backlog_seconds'] = lambda: (
             backlogs.find_largest(clocks.read_monotonic())
@@ -84,12 +86,16 @@
     return found
 
 
-def _make_memory_gauges(
-    placing: placebuilding.PlaceBuilder, held: heldanswers.HeldAnswers
-) -> Gauges:
+def _make_runner_memory_gauges(placing: placebuilding.PlaceBuilder) -> Gauges:
     return {
         'runner_memory_tokens': placing.scheduler.count_memory,
         'runner_memory_waits_total': lambda: placing.knowledge.memory.waits,
+    }
+
+
+def _make_memory_gauges(held: heldanswers.HeldAnswers) -> Gauges:
+    return {
+        'process_bytes': processmemory.read_process_bytes,
         'held_bytes': lambda: held.total,
         'held_bytes_limit': lambda: held.limit or 0,
         'held_requests': held.count_open,
