Return the memory of large blocks to the system when they are freed

Cause, one of three: glibc raises the size from which a block is mapped by itself to the largest one that was freed. After the first body of 4 MB all bodies come from the heap, which keeps what is freed below other blocks.

Change: the threshold is set, which ends its growth. Blocks from 128 KiB on are mapped one by one and return at once.

--- /dev/null
+++ b/packages/apricotlanding/src/apricotlanding/allocator.py
@@ -0,0 +1,29 @@
+"""Settings of the C library's allocator.
+
+By default glibc raises the size from which a block is mapped by itself to the
+largest one that was freed. Once a large body is freed, further bodies come
+from the heap, which keeps what is freed between other blocks. The process then
+holds far more than it uses.
+"""
+
+import ctypes
+
+__all__ = ['LARGE_BLOCK_BYTES', 'return_large_blocks']
+
+# Size from which a block returns to the system when it is freed; glibc's own
+# value at the start.
+LARGE_BLOCK_BYTES = 128 * 1024
+# Parameter of mallopt(3).
+_M_MMAP_THRESHOLD = -3
+
+
+def return_large_blocks() -> bool:
+    """Let freed large blocks return to the system at once.
+
+    Returns False if the C library has no such setting.
+    """
+    try:
+        mallopt = ctypes.CDLL(None).mallopt
+    except (AttributeError, OSError):
+        return False
+    return bool(mallopt(_M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES))
--- a/packages/apricotlandingd/src/apricotlandingd/command.py
+++ b/packages/apricotlandingd/src/apricotlandingd/command.py
@@ -7,6 +7,7 @@
 import click
 import uvloop
 
+from apricotlanding import allocator
 from apricotlanding import logs
 from apricotlandingd import daemon
 from apricotlandingd import settings
@@ -40,6 +41,7 @@
     if check:
         click.echo(f'{path}: good')
         return
+    allocator.return_large_blocks()
     stop_logs = logs.start_logging(host=config.host)
     try:
         anyio.run(
