Hold a request body once while it arrives and is sent

Cause, two of three: the parts of a body were kept in a list and joined when the last one was there, so that both stood in memory; and head and body were joined for the connection to the runner, which held the copy until the runner had read it.

Change: parts are written to one buffer, whose content is the body without a copy. The body is sent in parts of 64 KB.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import contextlib
+import io
 import json
 import math
 import select
@@ -69,19 +70,18 @@
 
 async def read_body(receive: Receive, limit: int) -> bytes:
     """Return the request body; raises BodyTooLarge or Disconnected."""
-    parts: list[bytes] = []
-    size = 0
+    # Parts in a list would be held a second time while they are joined; what
+    # ``getvalue`` returns shares the memory of the buffer.
+    body = io.BytesIO()
     while True:
         message = await receive()
         if message['type'] == 'http.disconnect':
             raise Disconnected
-        part = message.get('body', b'')
-        size += len(part)
-        if size > limit:
+        body.write(message.get('body', b''))
+        if body.tell() > limit:
             raise BodyTooLarge
-        parts.append(part)
         if not message.get('more_body', False):
-            return b''.join(parts)
+            return body.getvalue()
 
 
 def read_headers(scope: Scope) -> dict[str, str]:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
@@ -46,6 +46,9 @@
 # larger body is sent while the answer is read, because a runner may answer
 # before it has read the whole body and then stop reading.
 SMALL_BODY_BYTES = 4096
+# Part of a larger body that is copied and sent at once. With a copy of all of
+# it, the body would be held twice.
+SEND_BYTES = 64 * 1024
 # How long an idle connection is kept if the runner states no timeout, and the
 # share of the timeout that it states: its clock starts before this host's.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -354,11 +357,11 @@
         request = h11.Request(
             method=call.method, target=call.target, headers=headers
         )
-        parts = [self._http.send(request)]
+        head = self._http.send(request) or b''
         if call.body:
-            parts.append(self._http.send(h11.Data(data=call.body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        data = b''.join(part for part in parts if part)
+            # Returns the body itself, as its length is stated.
+            self._http.send(h11.Data(data=call.body))
+        self._http.send(h11.EndOfMessage())
         self._is_sent = False
         if call.read_bytes < self._most_bytes:
             self._stream.extra(
@@ -368,13 +371,15 @@
             )
         self._most_bytes = call.read_bytes
         if len(call.body) <= SMALL_BODY_BYTES:
-            await self._send_bytes(data)
+            await self._send_bytes(head, call.body)
             return
-        group.start_soon(self._send_bytes, data)
+        group.start_soon(self._send_bytes, head, call.body)
 
-    async def _send_bytes(self, data: bytes) -> None:
+    async def _send_bytes(self, head: bytes, body: bytes) -> None:
         try:
-            await self._stream.send(data)
+            await self._stream.send(head + body[:SMALL_BODY_BYTES])
+            for start in range(SMALL_BODY_BYTES, len(body), SEND_BYTES):
+                await self._stream.send(body[start : start + SEND_BYTES])
         except _BROKEN:
             # The reader gets the same error, or the answer that the runner
             # sent before it closed the connection.
