Free a body with its request, also after errors

What callers saw: nothing yet by itself; bodies that no request needs stay in a host's memory until the garbage collector runs, where no sum counts them.

Cause: the exception that a task group raised had the group as its context, and the group had the exception, so the two kept each other, the frames that the exception had passed through, and the call with its body in one of them. Frames of cancelled tasks, which anyio keeps alike, refer to the request. Evidence: referrers of the body after a runner had closed its connection: the call, in four frames of the traceback of Broken, in the group of open_group.

Change: open_group raises outside of the handler and drops its own reference; the request drops its body at its end.

test_memory_of_failed_uploads_is_returned fails before: 43.4 MB are kept after uploads whose runner closes the connection, where two bodies, 8 MB, are allowed. It passes now. The test of abandoned uploads passed before too; it fails by 42.6 MB once answers are sent by a task of their own, as on hosts that count what they hold.

--- a/packages/apricotlanding/src/apricotlanding/taskgroups.py
+++ b/packages/apricotlanding/src/apricotlanding/taskgroups.py
@@ -20,12 +20,22 @@
 
     The tasks are cancelled when the body ends.
     """
+    failure: BaseException | None = None
     try:
         async with anyio.create_task_group() as group:
             yield group
             group.cancel_scope.cancel()
     except BaseExceptionGroup as errors:
-        raise _unwrap_first(errors) from None
+        failure = _unwrap_first(errors)
+    if failure is None:
+        return
+    # With the group as its context, or in this frame, the exception would
+    # refer to itself. It would keep the frames that it passed through, and
+    # request bodies in them, until the garbage collector runs.
+    try:
+        raise failure
+    finally:
+        del failure
 
 
 def _unwrap_first(errors: BaseExceptionGroup[BaseException]) -> BaseException:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -120,6 +120,14 @@
             self.held.drop(-growth)
         self._partial_bytes = size
 
+    def drop_body(self) -> None:
+        """Release the body at the end of the request.
+
+        Tracebacks of cancelled tasks refer to the request until the garbage
+        collector finds them.
+        """
+        self.body = b''
+
     async def admit(
         self, headers: dialect.HeaderList, receive: asgi.Receive
     ) -> errors.Problem | None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/exchange.py
@@ -126,6 +126,7 @@
             raise
         finally:
             self._log_result(clocks.read_monotonic())
+            self._admission.drop_body()
 
     def end(self) -> None:
         """End the request, because the process is about to end."""
