Bound what is held on every host whose settings state a memory

Cause: what is held for callers was counted and bounded only with the contract "pressure"; without it the stated memory was not even read, and every request was admitted.

Change: a stated memory is always read, counted against and bounded. Answers are sent beside what produces them there, as with "pressure", since buffers of slow callers count too. A large body counts by its size and no more: it is held once, in memory that returns with it, so the growth of 1.6 for small buffers does not apply. Requests with large bodies are refused from 85% of the bound on and small ones from 90%, so that uploads do not shut out all others.

Bodies without a stated length are counted but not stopped yet.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
@@ -50,8 +50,9 @@
         self._health = runner_health
         self._socket = asgi.bind_address(config.state)
         # Counts what is held for callers, and for calls of other hosts.
-        self.held_answers = heldanswers.HeldAnswers(config.memory_bytes)
-        self._has_contention = config.has_contention
+        self.held_answers = heldanswers.HeldAnswers(
+            config.memory_bytes, config.has_contention
+        )
         self.keys = relaykeys.RelayKeys()
         self.links = ownlinks.OwnLinks(self._handle_change)
         self.clients = runnerclients.RunnerClients(dial, self._note_dialed)
@@ -78,7 +79,7 @@
         self.server = relayserver.RelayServer(
             self._identity,
             tools,
-            self.held_answers if self._has_contention else None,
+            self.held_answers if self.held_answers.is_counting else None,
         )
 
     async def serve(self) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
@@ -226,7 +226,7 @@
                 await self._send(relayframes.Reserved(load))
                 call = await self._receive_call()
                 if call is not None:
-                    self._hold(held, len(call.body))
+                    self._hold(held, heldanswers.weigh_body(len(call.body)))
                     await self._make_call(entry, reservation, call)
         except webclient.NotSent as error:
             self._tools.note(entry, observations.Kind.UNREACHABLE)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -52,7 +52,7 @@
         self.read_bytes = runnerclient.READ_BYTES
         # Bytes of an incomplete event that are counted.
         self._partial_bytes = 0
-        if shared.contention.is_configured:
+        if shared.held_answers.is_counting:
             self.read_bytes = heldanswers.FREE_ANSWER_BYTES
         self.head = _make_nameless_head()
         self.route: catalogue.Route
@@ -187,7 +187,7 @@
     ) -> errors.Problem | None:
         size = min(asgi.read_length(headers), limit)
         now = clocks.read_monotonic()
-        held = heldanswers.OPEN_BYTES + size
+        held = heldanswers.OPEN_BYTES + heldanswers.weigh_body(size)
         if not self._shared.held_answers.may_admit(held, now):
             return errors.make_problem(
                 errors.Kind.HOST_MEMORY_FULL, heldanswers.RETRY_AFTER_S
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
@@ -4,7 +4,8 @@
 speed. A host whose process exceeds its memory is killed with all its requests,
 so the bytes of request bodies and of parts that callers have not read are
 summed. From a share of the bound on, no request is admitted; at the bound the
-answer that has been unread for longest is cut.
+answer that has been unread for longest is cut. Hosts that state a memory count
+and are bounded, whatever else their settings say.
 """
 
 import collections.abc
@@ -14,6 +15,7 @@
 
 import eliot
 
+from apricotlanding import allocator
 from apricotlanding import asgi
 from apricotlandingd.gateway.decisions import logratelimit
 
@@ -24,6 +26,7 @@
     'HeldAnswer',
     'HeldAnswers',
     'Kind',
+    'weigh_body',
 ]
 
 # Where a request's ASGI scope has its ``HeldAnswer``.
@@ -47,6 +50,10 @@
 # Share of the bound from which requests are refused. What is left is for the
 # answers to those that were admitted.
 ADMIT_SHARE = 0.9
+# The same for requests with large bodies, and the least size of such a
+# request: small ones are still admitted beside uploads that fill the host.
+ADMIT_LARGE_SHARE = 0.85
+LARGE_BYTES = 2 * OPEN_BYTES
 # Share to which unread answers are cut when the host is full. Just below the
 # bound, the next parts would fill it again.
 CUT_SHARE = 0.95
@@ -123,7 +130,8 @@
             message = await receive()
             before = max(arrived, stated)
             arrived += len(message.get('body', b''))
-            self.grow(max(arrived, stated) - before)
+            after = max(arrived, stated)
+            self.grow(weigh_body(after) - weigh_body(before))
             return message
 
         return receive_counted
@@ -156,12 +164,29 @@
         self._owner = None
 
 
+def weigh_body(size: int) -> int:
+    """Return the bytes that are counted for a body of a size.
+
+    A large body is held once, in memory of its own that returns to the system
+    with it, so the process grows by its size and not by ``GROWTH_RATIO``.
+    """
+    if size < allocator.LARGE_BLOCK_BYTES:
+        return size
+    return max(allocator.LARGE_BLOCK_BYTES, math.ceil(size / GROWTH_RATIO))
+
+
 @ty.final
 class HeldAnswers:
     """What is held for all callers."""
 
-    def __init__(self, memory_bytes: int | None) -> None:
-        """Bound the bytes by the memory of the host; None is no bound."""
+    def __init__(
+        self, memory_bytes: int | None, is_always_counting: bool = False
+    ) -> None:
+        """Bound the bytes by the memory of the host; None is no bound.
+
+        Without a bound, they are counted only if ``is_always_counting``.
+        """
+        self.is_counting = is_always_counting or memory_bytes is not None
         self.limit: int | None = None
         if memory_bytes is not None:
             spare = (memory_bytes - PROCESS_BYTES) / GROWTH_RATIO
@@ -209,7 +234,8 @@
         """Tell whether ``size`` bytes of a new request fit."""
         if self.limit is None:
             return True
-        return self.total + size < self.limit * ADMIT_SHARE
+        share = ADMIT_SHARE if size < LARGE_BYTES else ADMIT_LARGE_SHARE
+        return self.total + size < self.limit * share
 
     def may_buffer(self, held: int, size: int) -> bool:
         """Tell whether a part may be held beside ``held`` bytes.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
@@ -66,7 +66,7 @@
             await _send_text(send, 200, self._telemetry.render())
             return
         held = None
-        if self._shared.contention.is_configured:
+        if self._shared.held_answers.is_counting:
             held = heldsends.HeldSend(self._shared.held_answers, scope, send)
         current = exchange.Exchange(self._shared, scope, receive, held or send)
         self._open.add(current)
--- a/tests/test_held_answers.py
+++ b/tests/test_held_answers.py
@@ -84,6 +84,38 @@
         self.assertTrue(self.answers.may_admit(1000, 1.0))
         self.assertFalse(self.answers.may_admit(self.answers.limit // 2, 1.0))
 
+    def test_small_request_is_admitted_beside_large_ones(self) -> None:
+        """Guards against uploads that shut out all other callers."""
+        body = heldanswers.weigh_body(4_000_000)
+        while self.answers.may_admit(heldanswers.OPEN_BYTES + body, 1.0):
+            self.open(0.0, heldanswers.OPEN_BYTES + body)
+        for _ in range(20):
+            self.assertTrue(
+                self.answers.may_admit(heldanswers.OPEN_BYTES, 1.0)
+            )
+            self.open(0.0, heldanswers.OPEN_BYTES)
+
+    def test_bodies_that_fill_the_memory_are_admitted(self) -> None:
+        """Guards against a bound that refuses half of what fits."""
+        size = 4_000_000
+        count = 0
+        counted = heldanswers.OPEN_BYTES + heldanswers.weigh_body(size)
+        while self.answers.may_admit(counted, 1.0):
+            self.open(0.0, counted)
+            count += 1
+        taken = heldanswers.PROCESS_BYTES + count * size
+        self.assertLess(taken, MEMORY)
+        self.assertGreater(taken, 0.8 * MEMORY)
+
+    def test_body_counts_more_the_larger_it_is(self) -> None:
+        """Guards against a body that shrinks the sum as it arrives."""
+        before = 0
+        for size in range(0, 1_000_000, 1000):
+            counted = heldanswers.weigh_body(size)
+            self.assertGreaterEqual(counted, before)
+            self.assertGreaterEqual(counted * heldanswers.GROWTH_RATIO, size)
+            before = counted
+
     def test_longest_unread_answer_is_cut(self) -> None:
         """Guards against cuts of answers that are read."""
         late = self.open(2.0, 10 * KB)
