Refuse a body without a stated length when the host is full

Chunked uploads ended a host for its memory as before, with the requests of others.

Cause: such a body was counted as it arrived, which stopped nothing. What the HTTP parser had read of it, up to 320 KiB, was not counted at all.

Change: it is counted ahead of what the parser may hold, and refused (503 APL619, nothing was run) as soon as there is no room for more; its memory is free at once. A stated length is counted wholly before anything is read, so such a body is never refused half-way. A stated length above the limit of the configuration gets 413 before it takes any room; before, it took room for the limit until so many bytes had arrived.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -31,7 +31,9 @@
     'Scope',
     'Send',
     'Server',
+    'MAX_UNREAD_BYTES',
     'bind_address',
+    'is_chunked',
     'read_body',
     'read_headers',
     'read_length',
@@ -52,6 +54,9 @@
 CONNECTION_KEY = 'apricotlanding.connection'
 # Digits of a length; a longer one is no length.
 MAX_LENGTH_DIGITS = 15
+# Most bytes of a body that the server has read and the application has not:
+# it stops reading at 64 KiB, and the event loop reads up to 256 KiB at once.
+MAX_UNREAD_BYTES = 320 * 1024
 # Connections that may wait to be accepted.
 BACKLOG = 2048
 
@@ -102,6 +107,11 @@
     return 0
 
 
+def is_chunked(headers: HeaderList) -> bool:
+    """Tell whether a body follows whose length is not stated."""
+    return any(name == b'transfer-encoding' for name, _ in headers)
+
+
 async def start_response(
     send: Send, status: int, headers: HeaderList | None = None
 ) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -17,6 +17,7 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import sharedallowances
+from apricotlandingd.gateway.requests import arrivingbodies
 from apricotlandingd.gateway.requests import heldanswers
 from apricotlandingd.gateway.requests import heldsends
 from apricotlandingd.gateway.requests import memoryneeds
@@ -185,25 +186,32 @@
     async def _read_body(
         self, headers: dialect.HeaderList, receive: asgi.Receive, limit: int
     ) -> errors.Problem | None:
-        size = min(asgi.read_length(headers), limit)
-        now = clocks.read_monotonic()
-        held = heldanswers.OPEN_BYTES + heldanswers.weigh_body(size)
-        if not self._shared.held_answers.may_admit(held, now):
-            return errors.make_problem(
-                errors.Kind.HOST_MEMORY_FULL, heldanswers.RETRY_AFTER_S
-            )
-        self.held.grow(held)
+        answers = self._shared.held_answers
+        body = arrivingbodies.ArrivingBody(answers, self.held, headers, limit)
+        if body.is_too_large():
+            return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
+        size = heldanswers.OPEN_BYTES + body.counted
+        if not answers.may_admit(size, clocks.read_monotonic()):
+            return self._make_full_problem()
+        self.held.grow(size)
         self.held.attempt = self.head.attempt
         if self.route.is_repeatable():
             self.held.kind = heldanswers.Kind.REPEATABLE
         try:
-            self.body = await asgi.read_body(
-                self.held.count_body(receive, size), limit
-            )
+            self.body = await asgi.read_body(body.count(receive), limit)
         except asgi.BodyTooLarge:
             return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
+        except arrivingbodies.HostFull:
+            answers.note_refusal(size, clocks.read_monotonic())
+            self.held.shrink(self.held.bytes)
+            return self._make_full_problem()
         return None
 
+    def _make_full_problem(self) -> errors.Problem:
+        return errors.make_problem(
+            errors.Kind.HOST_MEMORY_FULL, heldanswers.RETRY_AFTER_S
+        )
+
     def _note_arrival(self, now: float) -> None:
         deadline = self.head.deadline_s
         self.caller_timeout_s = (
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
@@ -16,7 +16,6 @@
 import eliot
 
 from apricotlanding import allocator
-from apricotlanding import asgi
 from apricotlandingd.gateway.decisions import logratelimit
 
 __all__ = [
@@ -119,23 +118,6 @@
         """Stop counting bytes of the answer."""
         self.hold(-size)
 
-    def count_body(self, receive: asgi.Receive, stated: int) -> asgi.Receive:
-        """Return what receives a body and counts it beyond its length."""
-        if self._owner is None:
-            return receive
-        arrived = 0
-
-        async def receive_counted() -> asgi.Message:
-            nonlocal arrived
-            message = await receive()
-            before = max(arrived, stated)
-            arrived += len(message.get('body', b''))
-            after = max(arrived, stated)
-            self.grow(weigh_body(after) - weigh_body(before))
-            return message
-
-        return receive_counted
-
     def begin_part(self, now: float) -> None:
         """Note that a part of the answer waits for its caller."""
         self.unread_since = now
@@ -217,6 +199,11 @@
         """Tell whether a request of which ``size`` is held is admitted."""
         if self.has_room(size):
             return True
+        self.note_refusal(size, now)
+        return False
+
+    def note_refusal(self, size: int, now: float) -> None:
+        """Note that a request of which ``size`` would be held is refused."""
         self.refused += 1
         held_back = self._log_limit.admit('full', now)
         if held_back is not None:
@@ -228,13 +215,16 @@
                 open=self.count_open(),
                 held_back=held_back,
             )
-        return False
 
-    def has_room(self, size: int) -> bool:
-        """Tell whether ``size`` bytes of a new request fit."""
+    def has_room(self, size: int, whole_size: int | None = None) -> bool:
+        """Tell whether ``size`` bytes more of a request fit.
+
+        ``whole_size`` is what is held of it then, if that is more.
+        """
         if self.limit is None:
             return True
-        share = ADMIT_SHARE if size < LARGE_BYTES else ADMIT_LARGE_SHARE
+        is_large = max(size, whole_size or 0) >= LARGE_BYTES
+        share = ADMIT_LARGE_SHARE if is_large else ADMIT_SHARE
         return self.total + size < self.limit * share
 
     def may_buffer(self, held: int, size: int) -> bool:
