Let refusals arrive before the rest of a body is cut off

Cause: a request that is refused before its body has arrived, on a connection that is to be closed, had the connection closed at once. Bytes that came in then reset it, and the caller's system dropped the answer.

Change: after such an answer the rest of the body is read and dropped for up to 2 s before the connection is closed. What the parser holds of a body that was refused is free at once, also where the connection is kept. The text of APL619 spoke of unread answers only; it names requests too.

test_refusals_arrive_before_the_connection_ends fails before: status 0 (reset) in place of 503, for callers that close the connection. It passes now, for bodies with and without a stated length.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -5,6 +5,7 @@
 anyio task and leaves signal handling to its owner.
 """
 
+import asyncio
 import collections.abc
 import contextlib
 import io
@@ -57,6 +58,10 @@
 # Most bytes of a body that the server has read and the application has not:
 # it stops reading at 64 KiB, and the event loop reads up to 256 KiB at once.
 MAX_UNREAD_BYTES = 320 * 1024
+# How long the rest of a body is read, and dropped, after its request was
+# answered and the connection is to be closed. Closing it with unread data
+# would reset it, and the caller might lose the answer.
+LINGER_S = 2.0
 # Connections that may wait to be accepted.
 BACKLOG = 2048
 
@@ -201,6 +206,23 @@
         self._transport.abort()
 
 
+@ty.final
+class _LingeringTransport(asyncio.Transport):
+    # What a request writes to; closing waits for the rest of its body.
+
+    def __init__(self, protocol: '_BoundedProtocol') -> None:
+        self._protocol = protocol
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self._protocol.transport.write(data)
+
+    def is_closing(self) -> bool:
+        return self._protocol.transport.is_closing()
+
+    def close(self) -> None:
+        self._protocol.close_after_body()
+
+
 @ty.final
 class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
     # The parser buffers the request line and headers until they are complete.
@@ -212,6 +234,8 @@
     # The server is closing; data that has already arrived is still read and
     # the request is answered.
     _is_closing = False
+    # The last request is answered; the rest of its body is dropped.
+    _is_lingering = False
     _connection: Connection | None = None
 
     def shutdown(self) -> None:
@@ -258,9 +282,31 @@
     def on_headers_complete(self) -> None:
         self._is_reading_head = False
         super().on_headers_complete()
+        self.cycle.transport = _LingeringTransport(self)
         if self._is_closing:
             self.cycle.keep_alive = False
 
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        if self._is_lingering:
+            self.transport.close()
+
+    def on_response_complete(self) -> None:
+        if self.cycle.response_complete:
+            # What has arrived of a body that nobody reads any more.
+            self.cycle.body = bytearray()
+        super().on_response_complete()
+
+    def close_after_body(self) -> None:
+        """Close the connection once the request has arrived."""
+        cycle = self.cycle
+        is_answered = cycle.response_complete and not cycle.disconnected
+        if not is_answered or not cycle.more_body:
+            self.transport.close()
+            return
+        self._is_lingering = True
+        self.loop.call_later(LINGER_S, self.transport.close)
+
 
 @ty.final
 class _SignalFreeServer(uvicorn.Server):
--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -459,7 +459,7 @@
         'APL619',
         503,
         Outcome.NOT_RUN,
-        'this host holds as many unread answers as its memory allows',
+        'this host holds as many requests and answers as its memory allows',
         'come back after Retry-After, and read answers as they arrive',
     )
     NO_HOSTS = Template(
