End a request whose body has not arrived by its deadline

What callers saw: others refused for as long as some callers kept connections open on which they had announced bodies that did not come.

Cause: nothing limited the arrival of a body. The deadline of the request was set when the body was there, and the room for it is taken before.

Change: the deadline, which counts from the head on anyway, holds for the body too. Then the request gets 408 APL620, which says that nothing was run; its room is free, and the connection is closed as for any 408.

Both tests of test_slow_uploads fail before: callers that stall after half of their bodies get no answer. They pass now: 60 of them are told 408, or 503 if they found the host full, a short request is served beside them, and a large one after their deadline.

--- a/packages/apricotlanding/src/apricotlanding/errors.py
+++ b/packages/apricotlanding/src/apricotlanding/errors.py
@@ -462,6 +462,13 @@
         'this host holds as many requests and answers as its memory allows',
         'come back after Retry-After, and read answers as they arrive',
     )
+    BODY_LATE = Template(
+        'APL620',
+        408,
+        Outcome.NOT_RUN,
+        'the body did not arrive before the deadline of the request',
+        'send the body faster, or state a later deadline',
+    )
     NO_HOSTS = Template(
         'APL612',
         503,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -7,6 +7,7 @@
 import functools
 import typing as ty
 
+import anyio
 import eliot
 
 from apricotlanding import asgi
@@ -167,7 +168,8 @@
         if holder is None and not route.is_public:
             return errors.make_problem(errors.Kind.UNKNOWN_KEY)
         self.organisation = holder
-        problem = await self._read_body(
+        self._set_deadline()
+        problem = await self._read_body_in_time(
             headers, receive, config.limits.max_body_bytes
         )
         if problem is not None:
@@ -183,6 +185,16 @@
             return problem
         return await self._take_units(clocks.read_monotonic())
 
+    async def _read_body_in_time(
+        self, headers: dialect.HeaderList, receive: asgi.Receive, limit: int
+    ) -> errors.Problem | None:
+        # A body that does not arrive would keep its room from others.
+        left_s = self.deadline_at - clocks.read_monotonic()
+        with anyio.move_on_after(left_s):
+            return await self._read_body(headers, receive, limit)
+        self.held.shrink(self.held.bytes)
+        return errors.make_problem(errors.Kind.BODY_LATE, 0.0)
+
     async def _read_body(
         self, headers: dialect.HeaderList, receive: asgi.Receive, limit: int
     ) -> errors.Problem | None:
@@ -212,7 +224,7 @@
             errors.Kind.HOST_MEMORY_FULL, heldanswers.RETRY_AFTER_S
         )
 
-    def _note_arrival(self, now: float) -> None:
+    def _set_deadline(self) -> None:
         deadline = self.head.deadline_s
         self.caller_timeout_s = (
             self.route.timeout_s if deadline is None else deadline
@@ -220,6 +232,8 @@
         limit = min(self.caller_timeout_s, self.route.timeout_s)
         self.deadline_at = self.arrived_at + limit
         self.held.deadline_at = self.deadline_at
+
+    def _note_arrival(self, now: float) -> None:
         self._shared.routestats.note_caller_timeout(
             self.route.name, self.caller_timeout_s
         )
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/replies.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/replies.py
@@ -13,6 +13,9 @@
 
 __all__ = ['Reply']
 
+# The rest of the request is not waited for (RFC 9110, 15.5.9).
+BODY_LATE_STATUS = 408
+
 
 @ty.final
 class Reply:
@@ -74,13 +77,13 @@
             *self._http_dialect.write_refusal(attempt, problem.retry_after_s),
             (b'content-type', b'text/plain; charset=utf-8'),
             (b'content-length', str(len(body)).encode()),
-            *self._list_close_headers(),
+            *self._list_close_headers(problem.status == BODY_LATE_STATUS),
         ]
         await asgi.start_response(self._send, problem.status, headers)
         await asgi.send_body_part(self._send, body, is_last=True)
 
-    def _list_close_headers(self) -> dialect.HeaderList:
+    def _list_close_headers(self, is_last: bool = False) -> dialect.HeaderList:
         # Makes the caller open its next connection to another host.
-        if self._is_stopping():
+        if self._is_stopping() or is_last:
             return [(b'connection', b'close')]
         return []
