Count a relayed body before it is read, and hold it once

A host that makes calls for others, which have lost their links, could be ended for its memory by their bodies.

Cause: the body of a call for another host was counted when it had arrived, so 128 of them, 3 MB each, could arrive at a time without being counted; and the frame was held up to three times while it was sent and while it arrived.

Change: a frame is counted by its length, which comes first, or dropped as it arrives; then the call is declined as by a host that is busy, and nothing is sent to the runner.

--- a/packages/apricotlanding/src/apricotlanding/codec.py
+++ b/packages/apricotlanding/src/apricotlanding/codec.py
@@ -21,6 +21,7 @@
 import dataclasses
 import enum
 import reprlib
+import struct
 import typing as ty
 
 import msgpack
@@ -34,6 +35,12 @@
 # peer can make as long as a frame.
 DETAIL_LIMIT_CHARS: ty.Final = 200
 
+# Byte strings from this length on are not copied by ``pack_parts``.
+LARGE_BYTES: ty.Final = 128 * 1024
+# Type and length of a msgpack byte string with a length of 32 bits.
+_LARGE_HEADER: ty.Final = struct.Struct('>BI')
+_LARGE_TYPE: ty.Final = 0xC6
+
 T = ty.TypeVar('T')
 
 
@@ -139,6 +146,28 @@
     return ty.cast(bytes, msgpack.packb(value, default=_convert_enum))
 
 
+def pack_parts(value: ty.Any) -> list[bytes]:
+    """Encode a value like ``pack_data``, as parts that follow each other.
+
+    Large byte strings of an array are parts themselves, so that they are not
+    copied.
+    """
+    if not isinstance(value, list):
+        return [pack_data(value)]
+    packer = msgpack.Packer(default=_convert_enum)
+    parts: list[bytes] = []
+    small = [packer.pack_array_header(len(value))]
+    for item in value:
+        if not isinstance(item, bytes) or len(item) < LARGE_BYTES:
+            small.append(packer.pack(item))
+            continue
+        small.append(_LARGE_HEADER.pack(_LARGE_TYPE, len(item)))
+        parts += [b''.join(small), item]
+        small = []
+    parts.append(b''.join(small))
+    return parts
+
+
 def _convert_enum(value: ty.Any) -> ty.Any:
     if isinstance(value, enum.Enum):
         return value.value
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
@@ -143,6 +143,11 @@
         return not self.active
 
 
+@ty.final
+class _DroppedCall:
+    """In place of a call for which the host has no room."""
+
+
 @ty.final
 class _Connection:
     """A connection of another host, with one call at a time."""
@@ -162,6 +167,8 @@
         self._stream = stream
         self._host = host
         self._held_answers = held_answers
+        # What is held for the call; nothing is counted between calls.
+        self._held = heldanswers.HeldAnswer(None, heldanswers.Kind.ONCE)
         self._received: anyio.abc.ObjectReceiveStream[object]
         self._is_calling = False
         # Most bytes that are read from a runner at once.
@@ -185,7 +192,13 @@
         # The end of the connection ends this task, and with it the call that
         # is in progress.
         while True:
-            frame = relayframes.registry.unpack(await self._link.receive())
+            frame: object
+            try:
+                data = await self._link.receive(self._admit_frame)
+                frame = relayframes.registry.unpack(data)
+                del data
+            except frames.Dropped:
+                frame = _DroppedCall()
             if self._is_calling:
                 raise codec.make_frame_error('a frame during a call')
             await sender.send(frame)
@@ -200,23 +213,21 @@
         self._server.active += 1
         # Never cut here: the host that the caller reached decides that, and a
         # relayed call does not grow after its body has arrived.
-        held = heldanswers.HeldAnswer(None, heldanswers.Kind.ONCE)
         if self._held_answers is not None:
-            held = self._held_answers.open(heldanswers.Kind.ONCE)
+            self._held = self._held_answers.open(heldanswers.Kind.ONCE)
         try:
-            await self._serve_reserve(reserve, held)
+            await self._serve_reserve(reserve)
         except _Decline as error:
             self._is_calling = False
             await self._send(relayframes.Declined(error.reason, error.detail))
         finally:
-            held.close()
+            self._held.close()
             self._server.active -= 1
 
-    async def _serve_reserve(
-        self, reserve: relayframes.Reserve, held: heldanswers.HeldAnswer
-    ) -> None:
+    async def _serve_reserve(self, reserve: relayframes.Reserve) -> None:
         entry = self._check(reserve)
-        self._hold(held, heldanswers.OPEN_BYTES)
+        if not self._hold(heldanswers.OPEN_BYTES):
+            raise _make_full_decline()
         client = self._tools.find_client(entry)
         try:
             async with client.reserve(
@@ -226,7 +237,6 @@
                 await self._send(relayframes.Reserved(load))
                 call = await self._receive_call()
                 if call is not None:
-                    self._hold(held, heldanswers.weigh_body(len(call.body)))
                     await self._make_call(entry, reservation, call)
         except webclient.NotSent as error:
             self._tools.note(entry, observations.Kind.UNREACHABLE)
@@ -252,17 +262,22 @@
             raise _Decline(reasons.CUT)
         return entry
 
-    def _hold(self, held: heldanswers.HeldAnswer, size: int) -> None:
-        # Raises _Decline if the memory of this host is full.
+    def _admit_frame(self, length: int) -> bool:
+        # The body of a call is counted before it is read. Other frames are
+        # part of ``OPEN_BYTES``.
+        if length <= heldanswers.FREE_ANSWER_BYTES:
+            return True
+        return self._hold(heldanswers.weigh_body(length))
+
+    def _hold(self, size: int) -> bool:
+        # Counts what is held for the call if this host has room for it.
         answers = self._held_answers
         if answers is None:
-            return
+            return True
         if not answers.may_admit(size, clocks.read_monotonic()):
-            raise _Decline(
-                relayframes.DeclineReason.BUSY,
-                'the memory of the host is full',
-            )
-        held.grow(size)
+            return False
+        self._held.grow(size)
+        return True
 
     async def _receive_call(self) -> relayframes.Call | None:
         # None if the connection to the runner is not needed.
@@ -270,6 +285,8 @@
             frame = await self._received.receive()
         if isinstance(frame, relayframes.Release):
             return None
+        if isinstance(frame, _DroppedCall):
+            raise _make_full_decline()
         return relayhandshake.check_frame(frame, relayframes.Call)
 
     async def _make_call(
@@ -359,3 +376,9 @@
 
     async def _send(self, frame: object) -> None:
         await self._link.send(relayframes.registry.pack(frame))
+
+
+def _make_full_decline() -> _Decline:
+    return _Decline(
+        relayframes.DeclineReason.BUSY, 'the memory of the host is full'
+    )
