Tell refused callers when a full host has room for them

What callers saw: "come back in 2 s" from a host that is full, whatever it releases. Most callers have less time than that; those who return together find no room for all.

Cause: the delay was made for callers that do not read, who are cut after 2 s. With uploads room is released as requests end.

Change: the delay is the time until the missing room is released, at the rate of the last half seconds; room is promised to one refused caller after the other. 2 s stay the longest delay, and the one without releases.

Refusals rise as callers return sooner.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/explanations/trials.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/explanations/trials.py
@@ -13,6 +13,7 @@
 from apricotlandingd.gateway import catalogue
 from apricotlandingd.gateway.decisions import examination
 from apricotlandingd.gateway.decisions import queueing
+from apricotlandingd.gateway.decisions import roomschedule
 from apricotlandingd.gateway.decisions import scheduler
 from apricotlandingd.gateway.decisions import subsets
 from apricotlandingd.gateway import dialect
@@ -109,7 +110,7 @@
             return errors.make_problem(errors.Kind.UNKNOWN_KEY)
         if not self.shared.held_answers.has_room(heldanswers.OPEN_BYTES):
             return errors.make_problem(
-                errors.Kind.HOST_MEMORY_FULL, heldanswers.RETRY_AFTER_S
+                errors.Kind.HOST_MEMORY_FULL, roomschedule.MAX_DELAY_S
             )
         return memoryneeds.find_problem(
             self.shared,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -204,7 +204,7 @@
             return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
         size = heldanswers.OPEN_BYTES + body.counted
         if not answers.may_admit(size, clocks.read_monotonic()):
-            return self._make_full_problem()
+            return self._make_full_problem(size)
         self.held.grow(size)
         self.held.attempt = self.head.attempt
         if self.route.is_repeatable():
@@ -214,14 +214,17 @@
         except asgi.BodyTooLarge:
             return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
         except arrivingbodies.HostFull:
+            size = heldanswers.OPEN_BYTES + body.counted
             answers.note_refusal(size, clocks.read_monotonic())
             self.held.shrink(self.held.bytes)
-            return self._make_full_problem()
+            return self._make_full_problem(size)
         return None
 
-    def _make_full_problem(self) -> errors.Problem:
+    def _make_full_problem(self, size: int) -> errors.Problem:
+        now = clocks.read_monotonic()
         return errors.make_problem(
-            errors.Kind.HOST_MEMORY_FULL, heldanswers.RETRY_AFTER_S
+            errors.Kind.HOST_MEMORY_FULL,
+            self._shared.held_answers.choose_return(size, now),
         )
 
     def _set_deadline(self) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
@@ -17,10 +17,10 @@
 
 from apricotlanding import allocator
 from apricotlandingd.gateway.decisions import logratelimit
+from apricotlandingd.gateway.decisions import roomschedule
 
 __all__ = [
     'OPEN_BYTES',
-    'RETRY_AFTER_S',
     'SCOPE_KEY',
     'HeldAnswer',
     'HeldAnswers',
@@ -61,8 +61,6 @@
 MIN_UNREAD_S = 2.0
 # Interval between searches for unread answers, which visit all answers.
 SEARCH_INTERVAL_S = 0.1
-# When refused callers should come back: slow ones have been cut by then.
-RETRY_AFTER_S = 2.0
 
 
 class Kind(enum.Enum):
@@ -102,7 +100,7 @@
         """Count bytes that are held."""
         if self._owner is not None:
             self.bytes += size
-            self._owner.total += size
+            self._owner.count(size)
 
     def shrink(self, size: int) -> None:
         """Stop counting bytes that are not held any more."""
@@ -178,6 +176,9 @@
         self.refused = 0
         self.cut = 0
         self._answers: dict[int, HeldAnswer] = {}
+        # Bytes that were released since the start.
+        self._released = 0
+        self._schedule = roomschedule.RoomSchedule()
         self._searched_at = 0.0
         self._log_limit = logratelimit.LogRateLimit()
 
@@ -187,6 +188,12 @@
         self._answers[id(found)] = found
         return found
 
+    def count(self, size: int) -> None:
+        """Count bytes that are held, or released if ``size`` is negative."""
+        self.total += size
+        if size < 0:
+            self._released -= size
+
     def forget(self, answer: HeldAnswer) -> None:
         """Remove an answer that was closed."""
         self._answers.pop(id(answer), None)
@@ -197,6 +204,7 @@
 
     def may_admit(self, size: int, now: float) -> bool:
         """Tell whether a request of which ``size`` is held is admitted."""
+        self._schedule.note_released(self._released, now)
         if self.has_room(size):
             return True
         self.note_refusal(size, now)
@@ -216,6 +224,14 @@
                 held_back=held_back,
             )
 
+    def choose_return(self, size: int, now: float) -> float:
+        """Return the seconds after which a refused request finds room."""
+        missing = 0
+        if self.limit is not None:
+            share = _find_share(size)
+            missing = max(0, self.total + size - int(self.limit * share))
+        return self._schedule.promise(missing, size, now)
+
     def has_room(self, size: int, whole_size: int | None = None) -> bool:
         """Tell whether ``size`` bytes more of a request fit.
 
@@ -223,8 +239,7 @@
         """
         if self.limit is None:
             return True
-        is_large = max(size, whole_size or 0) >= LARGE_BYTES
-        share = ADMIT_LARGE_SHARE if is_large else ADMIT_SHARE
+        share = _find_share(max(size, whole_size or 0))
         return self.total + size < self.limit * share
 
     def may_buffer(self, held: int, size: int) -> bool:
@@ -295,3 +310,8 @@
         ]
         found.sort(key=lambda item: item[0])
         return found
+
+
+def _find_share(size: int) -> float:
+    # Share of the bound up to which a request of this size is admitted.
+    return ADMIT_SHARE if size < LARGE_BYTES else ADMIT_LARGE_SHARE
