Bound the bodies of open requests at the daemon's own interface

The daemon's settings bound the number of open requests (5,000) and the length of each body, and so allow 5 GB.

The body of a request to an engine was held beside the prompt that was read from it.

Change: the setting open_body_bytes, 256 MiB by default, bounds the bodies that arrive or belong to requests that have not ended; one without a length counts as the longest allowed. Beyond it, callers get 503 APL208 and Retry-After before anything is read; at-most-once requests are told "unknown", as with open_requests. For an engine only the prompt is kept. The daemon states no memory, so the bound is on bodies alone.

--- a/packages/apricotlandingd/src/apricotlandingd/daemon.py
+++ b/packages/apricotlandingd/src/apricotlandingd/daemon.py
@@ -184,7 +184,11 @@
             self.tracer,
         )
         self.entry = entry.Entry(
-            self.runs, self.store, self.tracer, config.open_requests
+            self.runs,
+            self.store,
+            self.tracer,
+            config.open_requests,
+            config.open_body_bytes,
         )
         self.operators = operatorapi.OperatorApi(
             config.operator_token_sha256,
--- a/packages/apricotlandingd/src/apricotlandingd/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/admission.py
@@ -55,7 +55,8 @@
 
     head: Head
     kind: bundle.RunnerKind
-    # Forwarded unchanged to a plain service.
+    # Forwarded unchanged to a plain service; empty for an engine, which gets
+    # the prompt.
     body: bytes
     # SHA-256 of route and body: a key may be used with one of each only.
     digest: bytes
@@ -69,6 +70,10 @@
         """Tell whether the request must not run twice."""
         return self.head.route.repeat is bundle.Repeat.AT_MOST_ONCE
 
+    def count_bytes(self) -> int:
+        """Return the bytes of its content."""
+        return len(self.body) + len(self.prompt)
+
     @property
     def shard(self) -> ids.Shard:
         """Return the claims shard of its key."""
@@ -148,7 +153,7 @@
         Request(
             head=head,
             kind=kind,
-            body=body,
+            body=b'',
             digest=digest,
             prompt=prompt,
             prompt_tokens=len(words),
--- a/packages/apricotlandingd/src/apricotlandingd/requests/entry.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/entry.py
@@ -21,6 +21,7 @@
 from apricotlanding import tracing
 from apricotlandingd.requests import admission
 from apricotlandingd.requests import answers
+from apricotlandingd.requests import openbodies
 from apricotlandingd.requests import runs
 
 __all__ = ['Entry']
@@ -28,6 +29,8 @@
 ROUTE_PREFIX = '/v1/routes/'
 # Timeout for receiving the body of a request.
 BODY_TIMEOUT_S = 30.0
+# When callers should return that found as many requests as may be open.
+FULL_RETRY_AFTER_S = 1.0
 # The task that runs a request ends it at its deadline with the right outcome.
 # The caller's connection cannot tell whether the request has run, so it waits
 # this long after the deadline for that outcome before it answers "unknown".
@@ -46,12 +49,14 @@
         store: answers.AnswerStore,
         tracer: tracing.Tracer,
         open_requests: int,
+        open_body_bytes: int,
     ) -> None:
-        """Create the application; ``open_requests`` is the limit."""
+        """Create the application; the last two are the limits."""
         self._runs = all_runs
         self._store = store
         self._tracer = tracer
         self._open_requests = open_requests
+        self._bodies = openbodies.OpenBodies(open_body_bytes)
         self.find_bundle: collections.abc.Callable[
             [], bundle.Bundle | None
         ] = lambda: None
@@ -119,15 +124,9 @@
         stopping = self._check_stopping(head)
         if stopping is not None:
             return stopping
-        try:
-            with anyio.fail_after(BODY_TIMEOUT_S):
-                body = await asgi.read_body(receive, head.body_limit)
-        except asgi.BodyTooLarge:
-            return errors.make_problem(
-                errors.Kind.BODY_TOO_LARGE, limit=head.body_limit
-            )
-        except (asgi.Disconnected, TimeoutError):
-            return errors.make_problem(errors.Kind.INCOMPLETE_BODY)
+        body = await self._read_body(scope, receive, head)
+        if isinstance(body, errors.Problem):
+            return body
         # Checked again: a graceful stop may have begun to wait for open
         # requests while the body arrived. This request is not among them,
         # so the process could exit while it runs.
@@ -137,6 +136,32 @@
         found = admission.check_body(config, head, body)
         return found.error if found.is_error() else found.ok
 
+    async def _read_body(
+        self, scope: asgi.Scope, receive: asgi.Receive, head: admission.Head
+    ) -> bytes | errors.Problem:
+        limit = head.body_limit
+        size = limit
+        if not asgi.is_chunked(scope['headers']):
+            size = asgi.read_length(scope['headers'])
+        if size > limit:
+            return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
+        if not self._bodies.reserve(size):
+            return _weaken_if_at_most_once(
+                head,
+                errors.make_problem(
+                    errors.Kind.MEMORY_FULL, FULL_RETRY_AFTER_S
+                ),
+            )
+        try:
+            with anyio.fail_after(BODY_TIMEOUT_S):
+                return await asgi.read_body(receive, limit)
+        except asgi.BodyTooLarge:
+            return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
+        except (asgi.Disconnected, TimeoutError):
+            return errors.make_problem(errors.Kind.INCOMPLETE_BODY)
+        finally:
+            self._bodies.release(size)
+
     def _check_stopping(self, head: admission.Head) -> errors.Problem | None:
         if self.is_admitting:
             return None
@@ -187,13 +212,16 @@
             return stored, None
         if self._runs.count() >= self._open_requests:
             victim = self._runs.find_lowest_waiting(head.tier)
-            full_problem = errors.make_problem(errors.Kind.MEMORY_FULL, 1.0)
+            full_problem = errors.make_problem(
+                errors.Kind.MEMORY_FULL, FULL_RETRY_AFTER_S
+            )
             if victim is None:
                 return _weaken_if_at_most_once(head, full_problem)
             # Shed the waiting request of the lowest tier instead.
             victim.stop(full_problem, full_problem)
         parent = trace.set_span_in_context(span)
         run = self._runs.start(request, deadline_at, parent)
+        self._bodies.hold(run, request.count_bytes())
         return run.stored, run
 
     def _stop_if_unread(
--- a/packages/apricotlandingd/src/apricotlandingd/settings.py
+++ b/packages/apricotlandingd/src/apricotlandingd/settings.py
@@ -81,8 +81,9 @@
     stop_limit_s: ty.Annotated[float, pydantic.Field(gt=0)] = 600.0
     # Limit of finished answers that are kept for retries.
     kept_answer_bytes: ty.Annotated[int, pydantic.Field(ge=0)] = 33_554_432
-    # Limit of concurrently open requests.
+    # Limit of concurrently open requests, and of their bodies.
     open_requests: ty.Annotated[int, pydantic.Field(gt=0)] = 5000
+    open_body_bytes: ty.Annotated[int, pydantic.Field(gt=0)] = 268_435_456
 
     def read_operator_keys(self) -> dict[str, ed25519.Ed25519PublicKey]:
         """Return the operators' public keys by name."""
