--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -215,6 +215,7 @@
     # What a request writes to; closing waits for the rest of its body.
 
     def __init__(self, protocol: '_BoundedProtocol') -> None:
+        super().__init__()
         self._protocol = protocol
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
