Read runners with a buffer that loopback's segments fit

Cause: a window of 32 KiB is below the segments of loopback, 64 KiB, so that the sender waits for timers.

Each open call may hold 16 KiB more.

test_large_answer_arrives_in_time fails before: 6.4 MB do not end in the 3 s of their route. It passes now.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/runnerclient.py
@@ -40,8 +40,9 @@
 READ_BYTES = 65536
 # Receive buffer of a connection, of which fewer bytes are to be read at once;
 # the kernel doubles it. The event loop takes up to 250 KB that have arrived
-# off a connection, and keeps what is not read yet.
-LIMITED_BUFFER_BYTES = 16 * 1024
+# off a connection, and keeps what is not read yet. With less, a sender on
+# loopback, whose segments are 64 KiB, waits for timers.
+LIMITED_BUFFER_BYTES = 24 * 1024
 # A head and a body of this size fit into the socket buffers of both sides. A
 # larger body is sent while the answer is read, because a runner may answer
 # before it has read the whole body and then stop reading.
