Read the memory of a process in one place

Formatter, linters and types pass; the tests of process memory, soak checks, pipelined and relayed requests and the soak's short runs of uploads and contention pass (18).

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/processmemory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/processmemory.py
@@ -1,19 +1,24 @@
-"""The memory of this process, as the operating system counts it."""
+"""The memory of a process, as the operating system counts it."""
 
 import pathlib
 
 __all__ = ['parse_status', 'read_process_bytes']
 
-STATUS_PATH = pathlib.Path('/proc/self/status')
+PROCESSES_PATH = pathlib.Path('/proc')
 # Memory that is not backed by a file, in KiB.
 FIELD = 'RssAnon:'
 KIB_BYTES = 1024
 
 
-def read_process_bytes() -> int:
-    """Return the bytes of anonymous memory; 0 if that cannot be read."""
+def read_process_bytes(pid: int | None = None) -> int:
+    """Return the bytes of anonymous memory; 0 if that cannot be read.
+
+    Without ``pid``, those of this process.
+    """
+    name = 'self' if pid is None else str(pid)
+    path = PROCESSES_PATH / name / 'status'
     try:
-        return parse_status(STATUS_PATH.read_text(errors='replace'))
+        return parse_status(path.read_text(errors='replace'))
     except OSError:
         return 0
 
