Read a body once its request is admitted

What callers saw: a host that is killed for its memory, with the requests of others, when hundreds of callers send at the same moment.

Cause: the event loop reads up to 256 KB of each connection that has data before the application learns of the first request. 600 bodies of 100 KB were in memory before any of them was refused; the heap, in which blocks below 128 KB lie, kept what they had taken.

Change: a connection is read by a buffered protocol, 8 KB at a time, into a buffer that all share. Once the head of a request is complete, nothing more is read until the application receives the body, then 64 KB at a time. So the parser may hold 128 KB in place of 320 KB of a body whose length is not stated, and more of these are admitted.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -17,6 +17,7 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from apricotlanding import addresses
@@ -55,13 +56,16 @@
 CONNECTION_KEY = 'apricotlanding.connection'
 # Digits of a length; a longer one is no length.
 MAX_LENGTH_DIGITS = 15
-# Most bytes of a body that the server has read and the application has not:
-# it stops reading at 64 KiB, and the event loop reads up to 256 KiB at once.
-MAX_UNREAD_BYTES = 320 * 1024
 # Most bytes that the parser gets at once. It makes a request of each head in
 # them, which takes several times its size, and reads no further while one
 # waits for the answer to another on its connection.
 PARSE_BYTES = 8 * 1024
+# Most bytes that are read at once of a body that the application receives.
+# Nothing else is read in larger parts than the parser gets: all connections
+# may be read before the application learns of a request.
+READ_BYTES = 64 * 1024
+# Most bytes of a body that the server has read and the application has not.
+MAX_UNREAD_BYTES = flow_control.HIGH_WATER_LIMIT + READ_BYTES
 # How long the rest of a body is read, and dropped, after its request was
 # answered and the connection is to be closed. Closing it with unread data
 # would reset it, and the caller might lose the answer.
@@ -236,6 +240,8 @@
 
     _is_reading_head = False
     _head_bytes = 0
+    # The head of a request is complete; the application knows nothing of it.
+    _has_new_request = False
     # The server is closing; data that has already arrived is still read and
     # the request is answered.
     _is_closing = False
@@ -286,8 +292,18 @@
             del self._unparsed[:PARSE_BYTES]
             self._parse(data)
 
+    def choose_read_size(self) -> int:
+        """Return the most bytes to read at once."""
+        cycle = self.cycle
+        if cycle is None or self._is_reading_head or not cycle.more_body:
+            return PARSE_BYTES
+        return READ_BYTES
+
     def _parse(self, data: bytes) -> None:
         super().data_received(data)
+        if self._has_new_request:
+            self._has_new_request = False
+            self._await_application()
         if not self._is_reading_head or self.transport.is_closing():
             return
         self._head_bytes += len(data)
@@ -298,6 +314,11 @@
                 ' interface names.'
             )
 
+    def _await_application(self) -> None:
+        # The rest of a body is read once the application asks for it.
+        if self.cycle.more_body and not self.cycle.response_complete:
+            self.flow.pause_reading()
+
     def on_message_begin(self) -> None:
         self._is_reading_head = True
         self._head_bytes = 0
@@ -309,6 +330,7 @@
 
     def on_headers_complete(self) -> None:
         self._is_reading_head = False
+        self._has_new_request = True
         super().on_headers_complete()
         self.cycle.transport = _LingeringTransport(self)
         if self._is_closing:
@@ -338,6 +360,38 @@
         self.loop.call_later(LINGER_S, self.transport.close)
 
 
+@ty.final
+class _BoundedReader(asyncio.BufferedProtocol):
+    # Reads a connection in parts as large as its protocol chooses; the event
+    # loop would read several times as much.
+
+    def __init__(self, protocol: _BoundedProtocol, buffer: memoryview) -> None:
+        self._protocol = protocol
+        # Shared by all connections: what is read is taken at once.
+        self._buffer = buffer
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._protocol.connection_made(ty.cast(asyncio.Transport, transport))
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._buffer[: self._protocol.choose_read_size()]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self._protocol.data_received(bytes(self._buffer[:nbytes]))
+
+    def eof_received(self) -> None:
+        self._protocol.eof_received()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._protocol.connection_lost(exc)
+
+    def pause_writing(self) -> None:
+        self._protocol.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._protocol.resume_writing()
+
+
 @ty.final
 class _SignalFreeServer(uvicorn.Server):
     # The daemon handles signals itself: uvicorn would abort requests that a
@@ -362,10 +416,12 @@
     def __init__(self, app: App, *listen_addresses: addresses.Address) -> None:
         """Bind the addresses; raises OSError if one cannot be bound."""
         self._sockets = [bind_address(address) for address in listen_addresses]
+        self._buffer = memoryview(bytearray(READ_BYTES))
         self._config = config = uvicorn.Config(
             app,
             loop='none',
-            http=_BoundedProtocol,
+            # The server only calls it.
+            http=ty.cast(type[asyncio.Protocol], self._make_protocol),
             ws='none',
             interface='asgi3',
             # There is no proxy in front that rewrites client addresses.
@@ -383,6 +439,9 @@
         self._server = _SignalFreeServer(config)
         self._closed = anyio.Event()
 
+    def _make_protocol(self, **options: ty.Any) -> _BoundedReader:
+        return _BoundedReader(_BoundedProtocol(**options), self._buffer)
+
     async def serve(self) -> None:
         """Serve until ``stop`` is called and all connections are closed."""
         await self._server.serve(sockets=self._sockets)
