Let the test of a graceful stop post all requests, however long it takes

Cause: engines were ten times slower than usual, so the first requests ended before the last were posted on a busy machine, and 24 were never open at once.

Change: engines are 200 times slower until the host stops, then ten times, as before. What is checked is the same: 24 requests are open at the signal, all are complete, the process exits with 0.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -218,12 +218,14 @@
         # are completed, and the daemon then exits with 0.
         process = self.system.find_process('entry-1')
         with concurrent.futures.ThreadPoolExecutor(24) as pool:
-            posted = self.post_slow_requests(pool, 10.0)
+            posted = self.post_slow_requests(pool, 200.0)
             process.send(signal.SIGTERM)
             processes.wait_until(
                 lambda: self.read_readyz_status('entry-1') == 503,
                 'entry-1 is not ready',
             )
+            # No request has ended before, however long it took to post all.
+            self.slow_engines(10.0)
             for key, future in posted.items():
                 self.assertTrue(future.result().is_complete_answer(key, 12))
             self.assertEqual(0, process.wait())
@@ -283,13 +285,16 @@
         self, pool: concurrent.futures.Executor, straggle: float
     ) -> dict[str, concurrent.futures.Future[callers.Reply]]:
         """Post 24 requests to slow engines; return when all are open."""
-        for name in ('planner-1', 'planner-2'):
-            self.system.set_faults(name, straggle=straggle)
+        self.slow_engines(straggle)
         keys = [callers.make_key() for _ in range(24)]
         posted = {key: pool.submit(self.post_slow, key) for key in keys}
         self.wait_open(24)
         return posted
 
+    def slow_engines(self, straggle: float) -> None:
+        for name in ('planner-1', 'planner-2'):
+            self.system.set_faults(name, straggle=straggle)
+
     def post_slow(self, key: str) -> callers.Reply:
         body = {'prompt': systems.make_prompt(20), 'max_tokens': 12}
         return self.post('entry-1', 'rebuild', body, key)
