Bound incomplete heads, and the time in which a head has to come

What callers saw: a host that is killed for its memory, with the requests of others, while many callers send long heads that do not end; and connections that kept such memory until the caller left.

Cause: a head may have 64 KB, and the parser holds it until it is complete. No sum counts that, nothing limited how long it may take, and headerTimeoutMs of the configuration was not read.

Change: incomplete heads above 8 KB take 8 MB together at most; a caller for whom there is no room is told 503 and Retry-After. A head that has not come after headerTimeoutMs and a second (11 s by default) gets 408. Where another request on the connection is still answered, neither happens before the end of that answer: the rest of the head is not read until then.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -52,6 +52,13 @@
 ]
 # Limit on the size of the request line and headers.
 HEAD_LIMIT_BYTES = 64 * 1024
+# Most bytes of incomplete heads of all connections together, where a head is
+# longer than the parser gets at once.
+LONG_HEADS_BYTES = 8 * 1024 * 1024
+# Time for a head to arrive, unless the server sets another.
+HEAD_TIMEOUT_S = 10.0
+# When the caller of a long head that finds no room should return.
+LONG_HEAD_RETRY_AFTER_S = 2
 # Where a scope's extensions have the ``Connection``.
 CONNECTION_KEY = 'apricotlanding.connection'
 # Digits of a length; a longer one is no length.
@@ -232,6 +239,25 @@
         self._protocol.close_after_body()
 
 
+@ty.final
+class _HeadLimits:
+    # What holds for the incomplete heads of all connections.
+
+    def __init__(self) -> None:
+        self.timeout_s = HEAD_TIMEOUT_S
+        # Bytes of the long ones.
+        self._bytes = 0
+
+    def claim(self, size: int) -> bool:
+        if self._bytes + size > LONG_HEADS_BYTES:
+            return False
+        self._bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        self._bytes -= size
+
+
 @ty.final
 class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
     # The parser buffers the request line and headers until they are complete.
@@ -249,8 +275,12 @@
     _is_lingering = False
     _connection: Connection | None = None
 
-    def __init__(self, *args: ty.Any, **kwargs: ty.Any) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, limits: _HeadLimits, **options: ty.Any) -> None:
+        super().__init__(**options)
+        self._head_limits = limits
+        # Bytes of the head that are claimed.
+        self._claimed = 0
+        self._head_timer: asyncio.TimerHandle | None = None
         # What has arrived behind a request that waits for its turn.
         self._unparsed = bytearray()
 
@@ -307,12 +337,71 @@
         if not self._is_reading_head or self.transport.is_closing():
             return
         self._head_bytes += len(data)
+        if self._head_timer is None:
+            self._start_head_timer()
         if self._head_bytes > HEAD_LIMIT_BYTES:
-            self.send_400_response(
+            self._end_head(
+                400,
                 'The request line and headers are longer than'
                 f' {HEAD_LIMIT_BYTES} bytes; send only the headers that the'
-                ' interface names.'
+                ' interface names.',
             )
+        elif self._head_bytes > PARSE_BYTES:
+            self._claim_long_head()
+
+    def _start_head_timer(self) -> None:
+        self._head_timer = self.loop.call_later(
+            self._head_limits.timeout_s, self._end_late_head
+        )
+
+    def _end_late_head(self) -> None:
+        if self._is_answering():
+            self._start_head_timer()
+            return
+        self._end_head(408, 'The request line and headers came too late.')
+
+    def _claim_long_head(self) -> None:
+        growth = self._head_bytes - self._claimed
+        if self._head_limits.claim(growth):
+            self._claimed = self._head_bytes
+            return
+        if self._is_answering():
+            # The rest is read when the request before it is answered.
+            self.flow.pause_reading()
+            return
+        self._end_head(
+            503,
+            'Too many long heads arrive at a time; send fewer headers, or'
+            ' return later.',
+            f'retry-after: {LONG_HEAD_RETRY_AFTER_S}\r\n',
+        )
+
+    def _end_head(self, status: int, text: str, header: str = '') -> None:
+        # Refuses a request whose head is incomplete.
+        if self.transport.is_closing():
+            return
+        line = httptools_impl.STATUS_LINE[status].decode()
+        head = (
+            f'{line}content-type: text/plain; charset=utf-8\r\n'
+            f'content-length: {len(text)}\r\n{header}connection: close\r\n\r\n'
+        )
+        self.transport.write((head + text).encode())
+        self.transport.close()
+
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _forget_head(self) -> None:
+        self._is_reading_head = False
+        self._head_limits.release(self._claimed)
+        self._claimed = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._forget_head()
+        super().connection_lost(exc)
 
     def _await_application(self) -> None:
         # The rest of a body is read once the application asks for it.
@@ -329,7 +418,7 @@
         self.scope['extensions'] = extensions  # type: ignore[typeddict-item]
 
     def on_headers_complete(self) -> None:
-        self._is_reading_head = False
+        self._forget_head()
         self._has_new_request = True
         super().on_headers_complete()
         self.cycle.transport = _LingeringTransport(self)
@@ -417,6 +506,7 @@
         """Bind the addresses; raises OSError if one cannot be bound."""
         self._sockets = [bind_address(address) for address in listen_addresses]
         self._buffer = memoryview(bytearray(READ_BYTES))
+        self._head_limits = _HeadLimits()
         self._config = config = uvicorn.Config(
             app,
             loop='none',
@@ -440,7 +530,8 @@
         self._closed = anyio.Event()
 
     def _make_protocol(self, **options: ty.Any) -> _BoundedReader:
-        return _BoundedReader(_BoundedProtocol(**options), self._buffer)
+        protocol = _BoundedProtocol(self._head_limits, **options)
+        return _BoundedReader(protocol, self._buffer)
 
     async def serve(self) -> None:
         """Serve until ``stop`` is called and all connections are closed."""
@@ -451,6 +542,10 @@
         """Set the idle timeout of new connections."""
         self._config.timeout_keep_alive = math.ceil(seconds)
 
+    def set_head_timeout(self, seconds: float) -> None:
+        """Set the time that callers may take to send a head."""
+        self._head_limits.timeout_s = seconds
+
     def stop(self) -> None:
         """Close the listener and idle connections; others are completed."""
         self._server.should_exit = True
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/catalogue.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/catalogue.py
@@ -125,6 +125,8 @@
     max_body_bytes: int = 4 * 1024 * 1024
     # Seconds after which an idle connection is closed.
     idle_s: float = 15.0
+    # How long a caller may take to send a head.
+    head_s: float = 10.0
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -509,6 +509,7 @@
     def _apply_catalogue(self, found: catalogue.Catalogue) -> None:
         self._catalogue = found
         self._server.set_idle_timeout(found.limits.idle_s + 1.0)
+        self._server.set_head_timeout(found.limits.head_s + 1.0)
 
     # States of hosts.
 
