Begin so many requests in each pass of the event loop

What callers saw: a host that is killed for its memory, with the requests of others, when thousands of callers send small requests at the same moment; and nearly all of the next ones refused.

Cause: all requests whose heads have arrived began in one pass. Each takes some 30 KB for its tasks and buffers until it is refused, which is not counted, as only admitted requests are. What 2,000 of them had taken was kept afterwards and left no room.

Change: 64 requests begin in a pass. Connections beyond that wait in order of arrival, hold what was read of them once, 8 KB at most, and are not read.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -55,6 +55,9 @@
 # Most bytes of incomplete heads of all connections together, where a head is
 # longer than the parser gets at once.
 LONG_HEADS_BYTES = 8 * 1024 * 1024
+# Most requests that begin in one pass of the event loop. Each takes some 30 KB
+# until it is admitted or refused, which takes a few passes.
+REQUESTS_PER_PASS = 64
 # Time for a head to arrive, unless the server sets another.
 HEAD_TIMEOUT_S = 10.0
 # When the caller of a long head that finds no room should return.
@@ -258,6 +261,45 @@
         self._bytes -= size
 
 
+@ty.final
+class _RequestGate:
+    # Lets so many requests begin in each pass of the event loop. Connections
+    # beyond that wait in order of arrival, and are not read meanwhile.
+
+    def __init__(self) -> None:
+        self._begun = 0
+        self._waiting: collections.deque[_BoundedProtocol] = (
+            collections.deque()
+        )
+        self._is_scheduled = False
+
+    def is_closed(self) -> bool:
+        return bool(self._waiting) or self._begun >= REQUESTS_PER_PASS
+
+    def note_begun(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._begun += 1
+        self._schedule(loop)
+
+    def wait(
+        self, protocol: '_BoundedProtocol', loop: asyncio.AbstractEventLoop
+    ) -> None:
+        self._waiting.append(protocol)
+        self._schedule(loop)
+
+    def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            loop.call_soon(self._begin_pass, loop)
+
+    def _begin_pass(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._is_scheduled = False
+        self._begun = 0
+        while self._waiting and self._begun < REQUESTS_PER_PASS:
+            self._waiting.popleft().parse_waiting()
+        if self._waiting:
+            self._schedule(loop)
+
+
 @ty.final
 class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
     # The parser buffers the request line and headers until they are complete.
@@ -275,9 +317,13 @@
     _is_lingering = False
     _connection: Connection | None = None
 
-    def __init__(self, limits: _HeadLimits, **options: ty.Any) -> None:
+    def __init__(
+        self, limits: _HeadLimits, gate: _RequestGate, **options: ty.Any
+    ) -> None:
         super().__init__(**options)
         self._head_limits = limits
+        self._gate = gate
+        self._is_waiting = False
         # Bytes of the head that are claimed.
         self._claimed = 0
         self._head_timer: asyncio.TimerHandle | None = None
@@ -307,15 +353,39 @@
         return bool(poller.poll(0))
 
     def data_received(self, data: bytes) -> None:
+        if self._is_waiting or (self._is_idle() and self._gate.is_closed()):
+            self._wait_for_turn(data)
+            return
         if not self._unparsed and len(data) <= PARSE_BYTES:
             self._parse(data)
             return
         self._unparsed += data
         self._parse_unparsed()
 
+    def _wait_for_turn(self, data: bytes) -> None:
+        self._unset_keepalive_if_required()
+        self._unparsed += data
+        if not self._is_waiting:
+            self._is_waiting = True
+            self.flow.pause_reading()
+            self._gate.wait(self, self.loop)
+
+    def parse_waiting(self) -> None:
+        """Parse what has arrived before the turn of this connection."""
+        self._is_waiting = False
+        if self.transport.is_closing():
+            return
+        self.flow.resume_reading()
+        self._parse_unparsed()
+
+    def _is_idle(self) -> bool:
+        return self.cycle is None or (
+            self.cycle.response_complete and not self.cycle.more_body
+        )
+
     def _parse_unparsed(self) -> None:
         while self._unparsed and not self.transport.is_closing():
-            if self.pipeline:
+            if self.pipeline or self._is_waiting:
                 self.flow.pause_reading()
                 return
             data = bytes(self._unparsed[:PARSE_BYTES])
@@ -419,6 +489,7 @@
 
     def on_headers_complete(self) -> None:
         self._forget_head()
+        self._gate.note_begun(self.loop)
         self._has_new_request = True
         super().on_headers_complete()
         self.cycle.transport = _LingeringTransport(self)
@@ -507,6 +578,7 @@
         self._sockets = [bind_address(address) for address in listen_addresses]
         self._buffer = memoryview(bytearray(READ_BYTES))
         self._head_limits = _HeadLimits()
+        self._gate = _RequestGate()
         self._config = config = uvicorn.Config(
             app,
             loop='none',
@@ -530,7 +602,7 @@
         self._closed = anyio.Event()
 
     def _make_protocol(self, **options: ty.Any) -> _BoundedReader:
-        protocol = _BoundedProtocol(self._head_limits, **options)
+        protocol = _BoundedProtocol(self._head_limits, self._gate, **options)
         return _BoundedReader(protocol, self._buffer)
 
     async def serve(self) -> None:
