--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldsends.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldsends.py
@@ -13,6 +13,7 @@
 
 from apricotlanding import asgi
 from apricotlanding import clocks
+from apricotlanding import connections
 from apricotlanding import taskgroups
 from apricotlandingd.gateway.requests import heldanswers
 
@@ -60,7 +61,9 @@
         """Start without messages; the request is counted from here on."""
         self._answers = answers
         self._send = send
-        self._connection: Connection = scope['extensions'][asgi.CONNECTION_KEY]
+        self._connection: Connection = scope['extensions'][
+            connections.CONNECTION_KEY
+        ]
         self._connection.limit_buffers()
         self._held = answers.open(heldanswers.Kind.ONCE)
         self._held.count_unsent = self._connection.count_unsent
--- a/tests/test_held_answers.py
+++ b/tests/test_held_answers.py
@@ -9,6 +9,7 @@
 import testtools
 
 from apricotlanding import asgi
+from apricotlanding import connections
 from apricotlandingd.gateway.requests import heldanswers
 from apricotlandingd.gateway.requests import heldsends
 import fuzzing
@@ -214,7 +215,9 @@
     ) -> None:
         connection = FakeConnection()
         self.connections.append(connection)
-        scope: asgi.Scope = {'extensions': {asgi.CONNECTION_KEY: connection}}
+        scope: asgi.Scope = {
+            'extensions': {connections.CONNECTION_KEY: connection}
+        }
         held = heldsends.HeldSend(self.answers, scope, self.send)
         scope[heldanswers.SCOPE_KEY].kind = kind
         scope[heldanswers.SCOPE_KEY].grow(heldanswers.OPEN_BYTES)
