--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -170,11 +170,13 @@
         super().__init__(**options)
         self._head_limits = limits
         self._gate = gate
+        # The gate will call parse_waiting.
         self._is_waiting = False
         # Bytes of the head that are claimed.
         self._claimed = 0
         self._head_timer: asyncio.TimerHandle | None = None
-        # What has arrived behind a request that waits for its turn.
+        # What has arrived and waits: for the gate, or behind a request that
+        # waits for the answer to another.
         self._unparsed = bytearray()
 
     def shutdown(self) -> None:
