Leave requests unread until their turn

What callers saw: of 2,000 small requests at the same moment fewer are admitted than would fit.

Cause: connections that waited for their turn had been read once, 8 KB each: 16 MB beside 2,000 of them, which the host rightly takes for memory that no sum counts.

Change: where a request has to wait for its turn, one byte is read of it, which shows that it is there. The rest is read at its turn.

--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -142,6 +142,7 @@
         self._is_scheduled = False
         self._begun = 0
         while self._waiting and self._begun < REQUESTS_PER_PASS:
+            self._begun += 1
             self._waiting.popleft().parse_waiting()
         if self._waiting:
             self._schedule(loop)
@@ -172,6 +173,8 @@
         self._gate = gate
         # The gate will call parse_waiting.
         self._is_waiting = False
+        # The gate has called it; the head of the request is not complete yet.
+        self._has_turn = False
         # Bytes of the head that are claimed.
         self._claimed = 0
         self._head_timer: asyncio.TimerHandle | None = None
@@ -202,7 +205,7 @@
         return bool(poller.poll(0))
 
     def data_received(self, data: bytes) -> None:
-        if self._is_waiting or (self._is_idle() and self._gate.is_closed()):
+        if self._is_waiting or self._has_to_wait():
             self._wait_for_turn(data)
             return
         if not self._unparsed and len(data) <= PARSE_BYTES:
@@ -222,15 +225,20 @@
     def parse_waiting(self) -> None:
         """Parse what has arrived before the turn of this connection."""
         self._is_waiting = False
+        self._has_turn = True
         if self.transport.is_closing():
             return
         self.flow.resume_reading()
         self._parse_unparsed()
 
-    def _is_idle(self) -> bool:
-        return self.cycle is None or (
-            self.cycle.response_complete and not self.cycle.more_body
+    def _has_to_wait(self) -> bool:
+        if self._is_reading_head or self._has_turn:
+            return False
+        cycle = self.cycle
+        is_idle = cycle is None or (
+            cycle.response_complete and not cycle.more_body
         )
+        return is_idle and self._gate.is_closed()
 
     def _parse_unparsed(self) -> None:
         while self._unparsed and not self.transport.is_closing():
@@ -244,6 +252,9 @@
     def choose_read_size(self) -> int:
         """Return the most bytes to read at once."""
         cycle = self.cycle
+        if self._has_to_wait():
+            # Shows that there is a request, which is read at its turn.
+            return 1
         if cycle is None or self._is_reading_head or not cycle.more_body:
             return PARSE_BYTES
         return READ_BYTES
@@ -338,7 +349,9 @@
 
     def on_headers_complete(self) -> None:
         self._forget_head()
-        self._gate.note_begun(self.loop)
+        if not self._has_turn:
+            self._gate.note_begun(self.loop)
+        self._has_turn = False
         self._has_new_request = True
         super().on_headers_complete()
         self.cycle.transport = _LingeringTransport(self)
