Halve the room for incomplete heads

Incomplete heads may come after uploads were admitted, and what they take was not left free for them.

Change: long heads take 4 MB together in place of 8 MB.

--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -19,7 +19,7 @@
 HEAD_LIMIT_BYTES = 64 * 1024
 # Most bytes of incomplete heads of all connections together, where a head is
 # longer than the parser gets at once.
-LONG_HEADS_BYTES = 8 * 1024 * 1024
+LONG_HEADS_BYTES = 4 * 1024 * 1024
 # Most requests that begin in one pass of the event loop. Each takes some 30 KB
 # until it is admitted or refused, which takes a few passes.
 REQUESTS_PER_PASS = 64
