Call the functions of the allocator in one place

mallopt and malloc_trim were looked up by the same lines twice. Both go through one function now; what they return is the same. test_allocator passes.

--- a/packages/apricotlanding/src/apricotlanding/allocator.py
+++ b/packages/apricotlanding/src/apricotlanding/allocator.py
@@ -22,11 +22,7 @@
 
     Returns False if the C library has no such setting.
     """
-    try:
-        mallopt = ctypes.CDLL(None).mallopt
-    except (AttributeError, OSError):
-        return False
-    return bool(mallopt(_M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES))
+    return _call('mallopt', _M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
 
 
 def trim_heap() -> bool:
@@ -34,8 +30,13 @@
 
     Returns False if the C library cannot do so, or nothing was free.
     """
+    return _call('malloc_trim', 0)
+
+
+def _call(name: str, *arguments: int) -> bool:
+    # False also if the C library has no such function.
     try:
-        malloc_trim = ctypes.CDLL(None).malloc_trim
+        function = getattr(ctypes.CDLL(None), name)
     except (AttributeError, OSError):
         return False
-    return bool(malloc_trim(0))
+    return bool(function(*arguments))
