Tell in one place whether a connection answers a request

shutdown and the gate each repeated the test that _is_answering makes. Nothing is decided differently; the tests of stops, pipelined requests, bad input and bursts pass.

--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -20,8 +20,8 @@
 # Most bytes of incomplete heads of all connections together, where a head is
 # longer than the parser gets at once.
 LONG_HEADS_BYTES = 4 * 1024 * 1024
-# Most requests that begin in one pass of the event loop. Each takes some 30 KB
-# until it is admitted or refused, which takes a few passes.
+# Most requests that begin in one pass of the event loop. What they take is not
+# counted until they are admitted or refused, a few passes later.
 REQUESTS_PER_PASS = 64
 # Time for a head to arrive, unless the server sets another.
 HEAD_TIMEOUT_S = 10.0
@@ -188,8 +188,9 @@
         # with incomplete headers. If it were closed now, the caller would get
         # a reset and no response. Data that arrives later finds the connection
         # closed.
-        is_idle = self.cycle is None or self.cycle.response_complete
-        if is_idle and (self._is_reading_head or self._has_unread()):
+        if not self._is_answering() and (
+            self._is_reading_head or self._has_unread()
+        ):
             self._is_closing = True
             return
         super().shutdown()
@@ -232,13 +233,10 @@
         self._parse_unparsed()
 
     def _has_to_wait(self) -> bool:
-        if self._is_reading_head or self._has_turn:
+        if self._is_reading_head or self._has_turn or self._is_answering():
             return False
-        cycle = self.cycle
-        is_idle = cycle is None or (
-            cycle.response_complete and not cycle.more_body
-        )
-        return is_idle and self._gate.is_closed()
+        is_dropping_body = self.cycle is not None and self.cycle.more_body
+        return not is_dropping_body and self._gate.is_closed()
 
     def _parse_unparsed(self) -> None:
         while self._unparsed and not self.transport.is_closing():
