Start measurements of uncounted memory without special cases

The times of the last measurement and trim begin at minus infinity, so that the first ones are due without a test for None.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/uncountedmemory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/decisions/uncountedmemory.py
@@ -5,6 +5,7 @@
 are incomplete and connections without a request are not counted either.
 """
 
+import math
 import typing as ty
 
 __all__ = ['KEEP_S', 'UncountedMemory']
@@ -29,14 +30,13 @@
         self.bytes = 0
         # What was counted then, and when that was.
         self._counted = 0
-        self._measured_at: float | None = None
-        self._noted_at = 0.0
-        self._trimmed_at = -TRIM_INTERVAL_S
+        self._noted_at = -math.inf
+        # The last measurement, in force or not, and the last trim.
+        self._measured_at = -math.inf
+        self._trimmed_at = -math.inf
 
     def is_due(self, now: float) -> bool:
         """Tell whether to measure."""
-        if self._measured_at is None:
-            return True
         return now - self._measured_at >= MEASURE_INTERVAL_S
 
     def begin_trim(self, excess: int, now: float) -> bool:
@@ -52,8 +52,8 @@
         ``excess`` are the bytes that are held beyond those to expect with
         ``counted``; negative if fewer are held.
         """
-        is_old = self._measured_at is None or now - self._noted_at > KEEP_S
         self._measured_at = now
+        is_old = now - self._noted_at > KEEP_S
         if is_old or excess > self.bytes or counted <= self._counted:
             self.bytes = max(0, excess)
             self._counted = counted
