Keep what one process has and callers' timeouts out of the gateway

Whether the process holds nothing but the host is a field of its settings now, which the part that builds the sum reads (it is not compared when settings are reloaded); the server takes both timeouts in one call and adds the margin to both.

Formatter, linters and types pass, and the tests of bursts, pipelined requests, planned stops, settings, formats and the gateway's process; that of uploads after a burst shows that the host still measures its process.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -47,6 +47,8 @@
 ]
 # Digits of a length; a longer one is no length.
 MAX_LENGTH_DIGITS = 15
+# Added to what callers are granted: what they send last is still on its way.
+TIMEOUT_MARGIN_S = 1.0
 # Connections that may wait to be accepted.
 BACKLOG = 2048
 
@@ -219,13 +221,13 @@
         await self._server.serve(sockets=self._sockets)
         self._closed.set()
 
-    def set_idle_timeout(self, seconds: float) -> None:
-        """Set the idle timeout of new connections."""
-        self._config.timeout_keep_alive = math.ceil(seconds)
+    def set_timeouts(self, idle_s: float, head_s: float) -> None:
+        """Set how long callers may stay idle, and take to send a head.
 
-    def set_head_timeout(self, seconds: float) -> None:
-        """Set the time that callers may take to send a head."""
-        self._connections.set_head_timeout(seconds)
+        The first one holds for new connections.
+        """
+        self._config.timeout_keep_alive = math.ceil(idle_s + TIMEOUT_MARGIN_S)
+        self._connections.set_head_timeout(head_s + TIMEOUT_MARGIN_S)
 
     def stop(self) -> None:
         """Close the listener and idle connections; others are completed."""
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -58,7 +58,6 @@
 from apricotlandingd.gateway.process import joining
 from apricotlandingd.gateway.process import operatorrecords
 from apricotlandingd.gateway.process import placebuilding
-from apricotlandingd.gateway.process import processmemory
 from apricotlandingd.gateway.process import recordhandler
 from apricotlandingd.gateway.process import registrations
 from apricotlandingd.gateway.process import relaying
@@ -140,11 +139,6 @@
         self._build_sharing(dial)
         self._build_requests()
 
-    def use_whole_process(self) -> None:
-        """Bound the memory of the process, which has no other host."""
-        answers = self._relaying.held_answers
-        answers.memory = processmemory.ProcessMemory()
-
     def _build_sharing(self, dial: dialing.Dial) -> None:
         config = self._settings
         self._directory = directory.Directory(config.bounds.drain_s)
@@ -508,8 +502,7 @@
 
     def _apply_catalogue(self, found: catalogue.Catalogue) -> None:
         self._catalogue = found
-        self._server.set_idle_timeout(found.limits.idle_s + 1.0)
-        self._server.set_head_timeout(found.limits.head_s + 1.0)
+        self._server.set_timeouts(found.limits.idle_s, found.limits.head_s)
 
     # States of hosts.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
@@ -14,6 +14,7 @@
 from apricotlanding import supervisor
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import mesh
+from apricotlandingd.gateway.process import processmemory
 from apricotlandingd.gateway.process import settings
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.relays import relaychoice
@@ -53,6 +54,8 @@
         self.held_answers = heldanswers.HeldAnswers(
             config.memory_bytes, config.has_contention
         )
+        if config.has_own_process:
+            self.held_answers.memory = processmemory.ProcessMemory()
         self.keys = relaykeys.RelayKeys()
         self.links = ownlinks.OwnLinks(self._handle_change)
         self.clients = runnerclients.RunnerClients(dial, self._note_dialed)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
@@ -70,6 +70,8 @@
     has_contention: bool = False
     # Memory of this host in bytes; None if not stated.
     memory_bytes: int | None = None
+    # The process holds nothing but this host. No part of the settings file.
+    has_own_process: bool = dataclasses.field(default=False, compare=False)
     # Figures that are treated as not stated, and why.
     ignored: tuple[str, ...] = ()
 
