Log why a runner without a registration is kept, and when it is dropped

The output of a host showed when it read that a registration was gone, but not that it went on using the runner, for how long, nor which failure or return of the store was the reason. Three hypotheses on requests to a runner that had left differ in just that.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -29,6 +29,7 @@
 import enum
 import typing as ty
 
+import eliot
 import xxhash
 
 from apricotlanding import ids
@@ -216,6 +217,12 @@
             return
         if self._is_outage(now) and not registration.entry.is_draining:
             registration.removed_at = now
+            eliot.log_message(
+                'gateway:runner_kept',
+                runner=runner,
+                outage_s=_round_age(self._outage_at, now),
+                return_s=_round_age(self._return_at, now),
+            )
             return
         self._drop(runner, now)
 
@@ -237,6 +244,13 @@
             if registration.removed_at is None:
                 continue
             if not self._may_come_back(registration.removed_at, now):
+                eliot.log_message(
+                    'gateway:runner_dropped',
+                    runner=runner,
+                    kept_s=_round_age(registration.removed_at, now),
+                    outage_s=_round_age(self._outage_at, now),
+                    return_s=_round_age(self._return_at, now),
+                )
                 self._drop(runner, now)
         for runner, registration in self._registrations.items():
             if registration.held is not None and (
@@ -375,6 +389,10 @@
         return now - self._outage_at < LAPSE_WINDOW_S
 
 
+def _round_age(at: float | None, now: float) -> float | None:
+    return None if at is None else round(now - at, 3)
+
+
 def _hash_runner(start: ids.RunnerStart) -> int:
     runner = ids.parse_runner(start)
     return xxhash.xxh3_64_intdigest(runner.encode())
