Send nothing to a runner that left while a connection was made

Cause: whether a runner is open was looked at before a connection to it was made, which may take 0.5 s, and at a relay host before the call arrives, which may take 1 s. Beside a removal that is read late, that is more than what is left of the drain time.

Change: the directory is asked again when the connection is there, on both hosts; nothing was sent, so the request takes another place.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
@@ -237,6 +237,8 @@
                 await self._send(relayframes.Reserved(load))
                 call = await self._receive_call()
                 if call is not None:
+                    # It may have left before the call arrived.
+                    self._find_open(reserve)
                     await self._make_call(entry, reservation, call)
         except webclient.NotSent as error:
             self._tools.note(entry, observations.Kind.UNREACHABLE)
@@ -252,9 +254,7 @@
             raise _Decline(reasons.STOPPING)
         if self._server.active > MAX_CALLS:
             raise _Decline(reasons.BUSY)
-        entry = tools.starts.find_entry(reserve.runner)
-        if entry is None or entry.is_draining:
-            raise _Decline(reasons.CLOSED, 'unknown or leaving')
+        entry = self._find_open(reserve)
         if tools.rests.find(entry.start, now) is not None:
             raise _Decline(reasons.CLOSED, 'resting')
         state = tools.links.find_state(entry.service)
@@ -262,6 +262,14 @@
             raise _Decline(reasons.CUT)
         return entry
 
+    def _find_open(self, reserve: relayframes.Reserve) -> dialect.RunnerEntry:
+        entry = self._tools.starts.find_entry(reserve.runner)
+        if entry is None or entry.is_draining:
+            raise _Decline(
+                relayframes.DeclineReason.CLOSED, 'unknown or leaving'
+            )
+        return entry
+
     def _admit_frame(self, length: int) -> bool:
         # The body of a call is counted before it is read. Other frames are
         # part of ``OPEN_BYTES``.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/relays/runnerpaths.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/relays/runnerpaths.py
@@ -262,6 +262,7 @@
         if connecting.scope.cancelled_caught:
             # Another way was found meanwhile.
             return await self._open_direct(stack, entry, call)
+        self._check_open(entry)
         answer = await stack.enter_async_context(reservation.send(call))
         return Path(answer, None)
 
@@ -282,6 +283,7 @@
                     reservation = await attempted.enter_async_context(
                         self._reserve(candidate, entry, call.is_repeatable)
                     )
+                    self._check_open(entry)
                     answer = await reservation.call(call, attempt, content)
                     await stack.enter_async_context(attempted.pop_all())
             except relayclient.Declined as error:
@@ -302,6 +304,12 @@
             return Path(answer, candidate.host)
         raise NoPath(detail)
 
+    def _check_open(self, entry: dialect.RunnerEntry) -> None:
+        # It may have left while this host waited for the connection.
+        known = self._runners.find(entry.start)
+        if known is None or known.is_draining:
+            raise NoPath('the runner has left')
+
     def _is_runner_down(
         self,
         host: ids.Host,
