Read odd entries one by one in the product's own interface

What callers saw, by the report of another operator: one entry that is nested very deep, or has a number too large or a port out of range, ended the machines that read the list, or they stopped following it.

Shown here by tests that fail before (7 of 11; the module that the other two are about is new): * one entry of the host list with a port out of range, or that is no object, made the whole list unreadable, or ended the task that follows it (AttributeError); * a page of the log or a list that is nested deep (RecursionError) or has a number that no integer holds (OverflowError) ended its follower; * an engine's load or cache events with such a number ended the service of its pool; its last line ended the request, whose answer was whole; * a submission or a bundle like that was answered with no problem at all.

Change: JSON of others is parsed in one place, where all that can happen is a ValueError, and checked by field with bounds. An entry of the host list, or a cache event, is read on its own; a page of the log is not read past, since all readers must decide alike, and is asked for again. Records of the log itself were passed over before too, which the test shows.

--- a/packages/apricotctl/src/apricotctl/client.py
+++ b/packages/apricotctl/src/apricotctl/client.py
@@ -1,12 +1,12 @@
 """Calls to a daemon's operator listener."""
 
-import json
 import typing as ty
 
 import anyio
 import click
 
 from apricotlanding import addresses
+from apricotlanding import plainjson
 from apricotlanding import webclient
 
 __all__ = ['call_daemon']
@@ -44,7 +44,7 @@
         status, data = await client.call(
             method, path, headers, body, _TIMEOUT_S
         )
-        value = json.loads(data)
+        value = plainjson.parse(data)
     except webclient.NotSent as error:
         raise click.ClickException(
             f'cannot connect to a daemon at {address}; start it or choose'
--- a/packages/apricotlanding/src/apricotlanding/hostlist.py
+++ b/packages/apricotlanding/src/apricotlanding/hostlist.py
@@ -2,13 +2,17 @@
 
 The list is eventually consistent: a listed host may be dead and a missing one
 may be live. It is used to find peers and to stop sending requests to hosts
-that are leaving; no safety property depends on it.
+that are leaving; no safety property depends on it. Each entry is written by
+another program: one that cannot be read names no host, and the others hold.
 """
 
 import dataclasses
 import enum
 import typing as ty
 
+import eliot
+import pydantic
+
 from apricotlanding import addresses
 from apricotlanding import ids
 from apricotlanding import webclient
@@ -16,6 +20,11 @@
 __all__ = ['HostEntry', 'HostList', 'HostListUnreachable', 'HostState']
 
 
+# Limits of what is logged of entries that cannot be read.
+MAX_ERROR_CHARS: ty.Final = 200
+MAX_LOGGED: ty.Final = 5
+
+
 class HostState(enum.Enum):
     """State of a host according to the platform."""
 
@@ -48,6 +57,8 @@
     def __init__(self, address: addresses.Address) -> None:
         """Create a client; connections are opened on demand."""
         self._client = webclient.WebClient(address, max_connections=2)
+        # Errors of the entries that could not be read last time.
+        self._errors: list[str] = []
 
     async def read(self) -> list[HostEntry]:
         """Fetch the list; raises HostListUnreachable."""
@@ -60,20 +71,55 @@
         if status != 200:
             raise HostListUnreachable(f'status {status}')
         try:
-            return [_parse_entry(item) for item in reply['hosts']]
-        except (KeyError, TypeError, ValueError) as error:
-            raise HostListUnreachable(f'bad answer: {error!r}') from error
+            items = _lists.validate_python(reply).hosts
+        except pydantic.ValidationError as error:
+            raise HostListUnreachable(f'bad answer: {error}') from error
+        return self._read_entries(items)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
 
+    def _read_entries(self, items: list[ty.Any]) -> list[HostEntry]:
+        found: list[HostEntry] = []
+        mistakes: list[str] = []
+        for index, item in enumerate(items):
+            try:
+                found.append(_parse_entry(item))
+            except ValueError as error:
+                mistakes.append(f'entry {index}: {error}'[:MAX_ERROR_CHARS])
+        if mistakes and mistakes != self._errors:
+            eliot.log_message(
+                'hosts:unreadable', problems=mistakes[:MAX_LOGGED]
+            )
+        self._errors = mistakes
+        return found
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _List:
+    hosts: list[ty.Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    name: str
+    state: HostState
+    domain: str
+    peers: addresses.AddressField | None = None
+
+
+_lists: ty.Final = pydantic.TypeAdapter(_List)
+_entries: ty.Final = pydantic.TypeAdapter(_Entry)
+
 
-def _parse_entry(item: ty.Any) -> HostEntry:
-    peers = item.get('peers')
+def _parse_entry(item: object) -> HostEntry:
+    entry = _entries.validate_python(item)
+    if entry.peers is not None and entry.peers.port == 0:
+        raise ValueError('the port of a peer is 0; write one above')
     return HostEntry(
-        name=str(item['name']),
-        state=HostState(item['state']),
-        domain=ids.Domain(str(item['domain'])),
-        peers=None if peers is None else addresses.parse_address(peers),
+        name=entry.name,
+        state=entry.state,
+        domain=ids.Domain(entry.domain),
+        peers=entry.peers,
     )
--- a/packages/apricotlanding/src/apricotlanding/platformlog.py
+++ b/packages/apricotlanding/src/apricotlanding/platformlog.py
@@ -13,8 +13,11 @@
 import dataclasses
 import typing as ty
 
+import pydantic
+
 from apricotlanding import addresses
 from apricotlanding import ids
+from apricotlanding import plainjson
 from apricotlanding import webclient
 
 __all__ = ['LogBatch', 'LogDoubt', 'LogUnreachable', 'PlatformLog']
@@ -91,22 +94,44 @@
             raise LogUnreachable(f'status {status}')
         try:
             return _parse_batch(reply)
-        except (KeyError, TypeError, ValueError) as error:
-            raise LogUnreachable(f'bad answer: {error!r}') from error
+        except ValueError as error:
+            # Not read past: a record that others can read would be missing
+            # here, and all readers must decide alike.
+            raise LogUnreachable(f'bad answer: {error}') from error
 
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    offset: plainjson.Position
+    data: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Page:
+    records: list[_Record]
+    first: plainjson.Position
+    next: plainjson.Position
+    is_end: bool
+
+
+_pages: ty.Final = pydantic.TypeAdapter(_Page)
+
+
 def _parse_batch(reply: ty.Any) -> LogBatch:
-    parsed = [
-        (ids.Offset(int(item['offset'])), base64.b64decode(item['data']))
-        for item in reply['records']
-    ]
+    page = _pages.validate_python(reply)
     return LogBatch(
-        first=ids.Offset(int(reply['first'])),
-        next=ids.Offset(int(reply['next'])),
-        is_end=bool(reply['is_end']),
-        records=parsed,
+        first=ids.Offset(page.first),
+        next=ids.Offset(page.next),
+        is_end=page.is_end,
+        records=[
+            (
+                ids.Offset(item.offset),
+                base64.b64decode(item.data, validate=True),
+            )
+            for item in page.records
+        ],
     )
--- a/packages/apricotlanding/src/apricotlanding/submissions.py
+++ b/packages/apricotlanding/src/apricotlanding/submissions.py
@@ -5,6 +5,7 @@
 
 from apricotlanding import errors
 from apricotlanding import ids
+from apricotlanding import plainjson
 from apricotlanding import records
 
 __all__ = ['decode_submission', 'encode_submission']
@@ -27,7 +28,7 @@
 def decode_submission(body: bytes) -> records.BundleRecord:
     """Decode a signed bundle; raises Refused (BUNDLE_REFUSED)."""
     try:
-        value = json.loads(body)
+        value = plainjson.parse(body)
         return records.BundleRecord(
             version=ids.Version(int(value['version'])),
             base=ids.Version(int(value['base'])),
@@ -37,7 +38,7 @@
             author_signature=bytes.fromhex(value['author_signature']),
             approver_signature=bytes.fromhex(value['approver_signature']),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise errors.Refused(
             errors.make_problem(
                 errors.Kind.BUNDLE_REFUSED,
--- a/packages/apricotlanding/src/apricotlanding/webclient.py
+++ b/packages/apricotlanding/src/apricotlanding/webclient.py
@@ -15,6 +15,7 @@
 import httpcore
 
 from apricotlanding import addresses
+from apricotlanding import plainjson
 from apricotlanding import sockets
 
 __all__ = [
@@ -218,7 +219,7 @@
             method, path, headers, body, read_timeout
         )
         try:
-            return status, json.loads(data) if data else None
+            return status, plainjson.parse(data) if data else None
         except ValueError as error:
             raise Broken(f'not JSON: {error}') from error
 
--- a/packages/apricotlanding/src/apricotlanding/yamlfiles.py
+++ b/packages/apricotlanding/src/apricotlanding/yamlfiles.py
@@ -102,6 +102,11 @@
         data = yaml.safe_load(text)
     except (yaml.YAMLError, ValueError) as error:
         return expression.Error([_describe_syntax(error)])
+    except RecursionError:
+        finding = Finding(
+            1, 'file', 'nested too deep', 'write a few levels only'
+        )
+        return expression.Error([finding])
     lines = LineMap(root)
     findings = list(lines.duplicates)
     if not isinstance(data, dict):
--- a/packages/apricotlandingd/src/apricotlandingd/pools/poolservice.py
+++ b/packages/apricotlandingd/src/apricotlandingd/pools/poolservice.py
@@ -31,6 +31,7 @@
 from apricotlandingd.peering import peerlink
 from apricotlandingd.peering import peers
 from apricotlandingd.pools import engineorders
+from apricotlandingd.pools import enginereports
 from apricotlandingd.pools import poolqueue
 from apricotlandingd.pools import runnerstate
 
@@ -337,11 +338,9 @@
                     'GET', '/v1/load', read_timeout=LOAD_TIMEOUT_S
                 )
                 if status == 200:
+                    runner.reported_requests = enginereports.read_load(report)
                     answered_at = now
-                    runner.reported_requests = int(report['running']) + int(
-                        report['queued']
-                    )
-            except (webclient.WebError, KeyError, TypeError, ValueError):
+            except (webclient.WebError, ValueError):
                 # A single lost report is no failure: it gets work until
                 # ``LOAD_SILENCE_LIMIT_S`` has passed.
                 pass
@@ -387,23 +386,23 @@
                 read_timeout=LOAD_TIMEOUT_S,
             )
             if status == 200:
-                position = int(reply['next'])
-                for event in reply['events']:
+                page = enginereports.read_events(reply)
+                position = page.next
+                for event in page.events:
                     _apply_event(runner, event)
-        except (webclient.WebError, KeyError, TypeError, ValueError):
+        except (webclient.WebError, ValueError):
             # Late or lost events only cost prefix cache hits.
             pass
         await anyio.sleep(EVENT_INTERVAL_S)
 
 
 def _apply_event(
-    runner: runnerstate.RunnerState, event: dict[str, ty.Any]
+    runner: runnerstate.RunnerState, event: enginereports.CacheEvent
 ) -> None:
-    block = int(event['block'])
-    if event['kind'] == 'stored':
-        runner.add_cached_blocks([block])
-    elif event['kind'] == 'evicted':
-        runner.remove_cached_block(block)
+    if event.kind is enginereports.EventKind.STORED:
+        runner.add_cached_blocks([event.block])
+    else:
+        runner.remove_cached_block(event.block)
 
 
 def _parse_pool(shard: ids.Shard) -> ids.Pool:
--- a/packages/apricotlandingd/src/apricotlandingd/requests/relay.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/relay.py
@@ -21,9 +21,11 @@
 import urllib.parse
 
 import anyio
+import pydantic
 
 from apricotlanding import bundle
 from apricotlanding import clocks
+from apricotlanding import plainjson
 from apricotlanding import webclient
 from apricotlandingd.requests import admission
 from apricotlandingd.requests import answers
@@ -190,6 +192,15 @@
             return
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Counts:
+    prompt_tokens: plainjson.Count = 0
+    cached_tokens: plainjson.Count = 0
+
+
+_counts: ty.Final = pydantic.TypeAdapter(_Counts)
+
+
 @ty.final
 class _LineReader:
     """Reads an engine's JSON lines and checks that they are this request's."""
@@ -241,7 +252,7 @@
 
     def _parse(self, line: bytes) -> dict[str, ty.Any]:
         try:
-            value = json.loads(line)
+            value = plainjson.parse(line)
         except ValueError:
             raise _Malformed('a line that is not JSON') from None
         if not isinstance(value, dict):
@@ -254,11 +265,12 @@
         self.has_end = True
         attempt = self._attempt
         try:
-            attempt.prompt_tokens = int(value.get('prompt_tokens', 0))
-            attempt.cached_tokens = int(value.get('cached_tokens', 0))
-        except (TypeError, ValueError):
+            counts = _counts.validate_python(value)
+        except pydantic.ValidationError:
             # These are only statistics; the answer itself is complete.
             return
+        attempt.prompt_tokens = counts.prompt_tokens
+        attempt.cached_tokens = counts.cached_tokens
 
 
 async def _call_service(
