--- a/bench/bodies.py
+++ b/bench/bodies.py
@@ -21,7 +21,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 import typing as ty
 
 import anyio
@@ -32,6 +31,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / 'platform' / 'tests'), str(ROOT / 'tests')]
 
+import plaincaller  # noqa: E402
 import platformrunner  # noqa: E402
 import platformsystem  # noqa: E402
 import uploadscenes  # noqa: E402
@@ -120,9 +120,7 @@
 
 def make_head(route: str, attempt: str, *lines: str) -> bytes:
     """Return the head of a caller's request."""
-    return uploadscenes.plaincaller.make_head(
-        route, attempt, *lines, deadline_ms=10_000
-    )
+    return plaincaller.make_head(route, attempt, *lines, deadline_ms=10_000)
 
 
 async def send_parts(stream: anyio.abc.SocketStream, data: bytes) -> None:
@@ -381,5 +379,4 @@
 
 
 if __name__ == '__main__':
-    started = time.monotonic()
     main()
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -212,8 +212,8 @@
             self._directory,
             self._input_errors,
             self._end_earlier_starts,
-            config.has_rollouts,
             lambda: self._freshness.find_known_at(dialect.RUNNERS),
+            config.has_rollouts,
         )
         self._rollouts = rollouts.Rollouts(
             config.host,
@@ -572,7 +572,8 @@
 
     def _pump(self, now: float) -> None:
         self._pumped_at = now
-        # Here, as a tenth of a second too late breaks the drain time.
+        # Often: each delay adds to the time for which a runner that has left
+        # is used.
         self._directory.expire(now)
         self._scheduler.schedule_all(now)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
@@ -25,17 +25,15 @@
         runners: directory.Directory,
         input_errors: inputerrors.InputErrors,
         on_start: collections.abc.Callable[[ids.RunnerStart], None],
+        find_known_at: collections.abc.Callable[[], float | None],
         has_rollouts: bool = False,
-        find_known_at: collections.abc.Callable[[], float | None] = lambda: (
-            None
-        ),
     ) -> None:
         """Apply records to a directory.
 
-        ``on_start`` is called with each new start of a runner. Without
-        ``has_rollouts``, runners of all releases are one pool.
+        ``on_start`` is called with each new start of a runner.
         ``find_known_at`` returns a time at which the store held no record that
-        is new here, or None.
+        is new here, or None. Without ``has_rollouts``, runners of all releases
+        are one pool.
         """
         self._dialect = platform_dialect
         self._directory = runners
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -281,9 +281,10 @@
             self._drop(runner, now)
         for runner in list(self._held):
             self._release(runner, now)
-        for runner, removed in list(self._removed.items()):
+        while self._removed:
+            # The one that was removed first.
+            runner, removed = next(iter(self._removed.items()))
             if now - removed.at <= REMOVED_RETENTION_S:
-                # The others were removed later.
                 break
             del self._removed[runner]
 
