--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -227,7 +227,8 @@
             # No request has ended before, however long it took to post all.
             self.slow_engines(10.0)
             for key, future in posted.items():
-                self.assertTrue(future.result().is_complete_answer(key, 12))
+                reply = future.result()
+                self.assertTrue(reply.is_complete_answer(key, 12), reply)
             self.assertEqual(0, process.wait())
 
     def test_second_signal_reports_true_outcomes(self) -> None:
