Keep what the directory knows of kept and held runners in one place

Cause: a runner that is used without a registration was noted both in its registration and in a set, and one that is held closed likewise, so the two had to be changed together; a removal from the table of removed runners could never find anything, as each registration that is applied takes its runner out of it first.

Change: one table each, with what belongs to the runner.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -70,11 +70,6 @@
     entry: dialect.RunnerEntry
     # Number of the store's returns from a copy before it was read.
     era: int
-    # None while the registration is in force.
-    removal: '_Removal | None' = None
-    # What it is registered as if it is closed until a time, and that time.
-    held: dialect.RunnerEntry | None = None
-    held_until: float = 0.0
 
 
 @ty.final
@@ -86,6 +81,14 @@
     read_at: float
 
 
+@ty.final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Held:
+    # What the runner is registered as, and until when it is closed.
+    entry: dialect.RunnerEntry
+    until: float
+
+
 @ty.final
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Removed:
@@ -121,8 +124,8 @@
         self._era = 0
         # Runners that are used although their registration disappeared, and
         # those that are closed until a time.
-        self._kept: set[ids.Runner] = set()
-        self._held: set[ids.Runner] = set()
+        self._kept: dict[ids.Runner, _Removal] = {}
+        self._held: dict[ids.Runner, _Held] = {}
         # Number of changes, for users that cache data derived from this.
         self.changes = 0
 
@@ -181,8 +184,8 @@
             return UpdateResult.OUTDATED
         removed = self._removed.pop(runner, None)
         self._registrations[runner] = _Registration(entry, self._era)
-        self._kept.discard(runner)
-        self._held.discard(runner)
+        self._kept.pop(runner, None)
+        self._held.pop(runner, None)
         self._close_leaving(runner)
         self.changes += 1
         if (
@@ -237,7 +240,7 @@
         accepted it; None if that is now.
         """
         registration = self._registrations.get(runner)
-        if registration is None or registration.removal is not None:
+        if registration is None or runner in self._kept:
             return
         removal = _Removal(
             now if accepted_after is None else accepted_after, now
@@ -246,8 +249,7 @@
         if now >= end or registration.entry.is_draining:
             self._drop(runner, now)
             return
-        registration.removal = removal
-        self._kept.add(runner)
+        self._kept[runner] = removal
         eliot.log_message(
             'gateway:runner_kept',
             runner=runner,
@@ -269,9 +271,8 @@
 
     def expire(self, now: float) -> None:
         """Drop runners whose registration did not come back in time."""
-        for runner in list(self._kept):
-            removal = self._registrations[runner].removal
-            if removal is None or now < self._find_end(removal):
+        for runner, removal in list(self._kept.items()):
+            if now < self._find_end(removal):
                 continue
             eliot.log_message(
                 'gateway:runner_dropped',
@@ -279,8 +280,9 @@
                 kept_s=round(now - removal.read_at, 3),
             )
             self._drop(runner, now)
-        for runner in list(self._held):
-            self._release(runner, now)
+        for runner, held in list(self._held.items()):
+            if now >= held.until:
+                self._release(runner)
         while self._removed:
             # The one that was removed first.
             runner, removed = next(iter(self._removed.items()))
@@ -297,10 +299,11 @@
 
     def is_registered_as(self, entry: dialect.RunnerEntry) -> bool:
         """Tell whether a registration is in force and reads just so."""
-        registration = self._registrations.get(ids.parse_runner(entry.start))
+        runner = ids.parse_runner(entry.start)
+        registration = self._registrations.get(runner)
         return (
             registration is not None
-            and registration.removal is None
+            and runner not in self._kept
             and registration.entry == entry
         )
 
@@ -353,10 +356,8 @@
     def _drop(self, runner: ids.Runner, now: float) -> None:
         registration = self._registrations.pop(runner)
         self._leaving.discard(runner)
-        self._kept.discard(runner)
-        self._held.discard(runner)
-        # Last in the order of removal.
-        self._removed.pop(runner, None)
+        self._kept.pop(runner, None)
+        self._held.pop(runner, None)
         self._removed[runner] = _Removed(
             registration.entry.start, now, self._era
         )
@@ -375,20 +376,13 @@
         registration = self._registrations[runner]
         if registration.entry.is_draining:
             return
-        registration.held = registration.entry
-        registration.held_until = until
-        self._held.add(runner)
+        self._held[runner] = _Held(registration.entry, until)
         registration.entry = dataclasses.replace(
             registration.entry, is_draining=True
         )
 
-    def _release(self, runner: ids.Runner, now: float) -> None:
-        registration = self._registrations[runner]
-        if registration.held is None or now < registration.held_until:
-            return
-        registration.entry = registration.held
-        registration.held = None
-        self._held.discard(runner)
+    def _release(self, runner: ids.Runner) -> None:
+        self._registrations[runner].entry = self._held.pop(runner).entry
         self._close_leaving(runner)
         self.changes += 1
 
