Ask the directory in one place whether a runner is open

Cause: the check before a connection is used repeated the one that tells a crash from a planned end.

Change: Directory.is_open serves both. Nothing else changes; the tests of crashes and of runners that leave while a connection is made pass as they are.

--- a/packages/apricotlandingd/src/apricotlandingd/gateway/relays/runnerpaths.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/relays/runnerpaths.py
@@ -306,8 +306,7 @@
 
     def _check_open(self, entry: dialect.RunnerEntry) -> None:
         # It may have left while this host waited for the connection.
-        known = self._runners.find(entry.start)
-        if known is None or known.is_draining:
+        if not self._runners.is_open(entry.start):
             raise NoPath('the runner has left')
 
     def _is_runner_down(
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/crashes.py
@@ -174,7 +174,7 @@
     async def _examine(self, inquiry: _Inquiry) -> None:
         start = inquiry.entry.start
         liveness = cuts.Liveness.UNTRIED
-        if not self._is_leaving(start):
+        if self._runners.is_open(start):
             liveness = await self._links.probe(inquiry.entry)
         is_reached_elsewhere = False
         if liveness in (cuts.Liveness.REFUSES, cuts.Liveness.SILENT):
@@ -183,7 +183,7 @@
             )
         now = clocks.read_monotonic()
         cause = cuts.find_cause(
-            self._is_leaving(start),
+            not self._runners.is_open(start),
             liveness,
             self._is_current(now),
             is_reached_elsewhere,
@@ -212,10 +212,6 @@
             listener(cause)
         inquiry.finished.set()
 
-    def _is_leaving(self, start: ids.RunnerStart) -> bool:
-        entry = self._runners.find(start)
-        return entry is None or entry.is_draining
-
     def _identify(self, start: ids.RunnerStart) -> ids.Crash:
         # Requests of one crash may be cut one after the other. A runner that
         # registers without a birth has the same start after a crash.
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -297,6 +297,11 @@
             return None
         return registration.entry
 
+    def is_open(self, start: ids.RunnerStart) -> bool:
+        """Tell whether a start is known and accepts new requests."""
+        entry = self.find(start)
+        return entry is not None and not entry.is_draining
+
     def is_registered_as(self, entry: dialect.RunnerEntry) -> bool:
         """Tell whether a registration is in force and reads just so."""
         runner = ids.parse_runner(entry.start)
