Parse the JSON of others in one place

Cause: plainjson repeated what the readers of registrations, of callers' bodies and of questions about placements did for texts that are nested too deep, and the reader of traces still ended with the parser's error.

Change: all of them call plainjson.parse, whose TooDeep keeps the message of the platform's readers. A question that is nested too deep is refused with that word in place of the parser's, and a line of a trace is listed with the others that cannot be read.

--- a/packages/apricotctl/src/apricotctl/traces.py
+++ b/packages/apricotctl/src/apricotctl/traces.py
@@ -16,7 +16,6 @@
 
 import collections.abc
 import dataclasses
-import json
 import pathlib
 import random
 import typing as ty
@@ -24,6 +23,8 @@
 import click
 import pydantic
 
+from apricotlanding import plainjson
+
 __all__ = ['DEPLOYMENTS', 'TraceLine', 'make_trace', 'read_trace']
 
 
@@ -151,7 +152,7 @@
     errors: list[str] = []
     for number, text in enumerate(path.read_text().splitlines(), 1):
         try:
-            lines.append(TraceLine.model_validate(json.loads(text)))
+            lines.append(TraceLine.model_validate(plainjson.parse(text)))
         except ValueError as error:
             first = str(error).splitlines()
             errors.append(f'{path}: line {number}: {" ".join(first[:3])}')
--- a/packages/apricotlanding/src/apricotlanding/plainjson.py
+++ b/packages/apricotlanding/src/apricotlanding/plainjson.py
@@ -10,7 +10,7 @@
 
 import pydantic
 
-__all__ = ['Count', 'Position', 'parse']
+__all__ = ['Count', 'Position', 'TooDeep', 'parse']
 
 # Largest number of things that are counted one by one.
 MAX_COUNT: ty.Final = 10**9
@@ -21,10 +21,15 @@
 Position = ty.Annotated[int, pydantic.Field(ge=0, le=MAX_POSITION)]
 
 
+@ty.final
+class TooDeep(ValueError):
+    """The text is nested deeper than the stack allows; write fewer levels."""
+
+
 def parse(data: bytes | str) -> ty.Any:
-    """Parse a JSON text; raises ValueError."""
+    """Parse a JSON text; raises ValueError, which may be TooDeep."""
     try:
         return json.loads(data)
     except RecursionError:
         # Once a bracket; a text of a few KB is nested deeper than the stack.
-        raise ValueError('nested too deep') from None
+        raise TooDeep('nested too deep') from None
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/explanations/questions.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/explanations/questions.py
@@ -10,11 +10,11 @@
 """
 
 import dataclasses
-import json
 import typing as ty
 
 from apricotlanding import errors
 from apricotlanding import ids
+from apricotlanding import plainjson
 
 __all__ = ['MAX_BYTES', 'Question', 'read_question']
 
@@ -81,8 +81,8 @@
     if len(data) > MAX_BYTES:
         raise _refuse(f'it has more than {MAX_BYTES} bytes')
     try:
-        value = json.loads(data)
-    except (ValueError, RecursionError) as error:
+        value = plainjson.parse(data)
+    except ValueError as error:
         raise _refuse(f'it is not JSON: {str(error)[:200]}') from None
     if not isinstance(value, dict):
         raise _refuse('it is not a JSON object')
--- a/packages/apricotlandingd/src/apricotlandingd/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/admission.py
@@ -8,7 +8,6 @@
 import collections.abc
 import dataclasses
 import hashlib
-import json
 import secrets
 import typing as ty
 import uuid
@@ -19,6 +18,7 @@
 from apricotlanding import bundle
 from apricotlanding import errors
 from apricotlanding import ids
+from apricotlanding import plainjson
 from apricotlandingd.pools import runnerstate
 
 __all__ = ['Head', 'Request', 'check_body', 'check_headers', 'hash_prefix']
@@ -141,8 +141,8 @@
     if kind is bundle.RunnerKind.SERVICE:
         return expression.Ok(Request(head, kind, body, digest, '', 0, 1, []))
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError):
+        value = plainjson.parse(body)
+    except ValueError:
         return _fail(errors.Kind.BAD_BODY, detail='not JSON')
     mistake = _describe_bad_body(value)
     if mistake is not None:
