--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -148,22 +148,15 @@
         self._freshness = freshness.Freshness(
             self._replica, settings.find_topic_bounds(config.bounds)
         )
-        self._freshness.on_answer = self._note_answer
-        probe_lock = anyio.Lock()
-        self._readers = [
-            storereader.StoreReader(
-                topic,
-                self._store,
-                self._replica,
-                self._freshness,
-                lambda: self._reader_choice.find_readers(),
-                self._directory.note_outage,
-                lambda: self._mesh.request_update(),
-                probe_lock,
-                self._rng,
-            )
-            for topic in records.TOPICS
-        ]
+        self._readers = storereader.build_readers(
+            self._store,
+            self._replica,
+            self._freshness,
+            lambda: self._reader_choice.find_readers(),
+            self._directory.note_outage,
+            lambda: self._mesh.request_update(),
+            self._rng,
+        )
         self._exchange = recordexchange.RecordExchange(self._replica)
         self._catch_up = catchup.CatchUp(
             self._exchange,
@@ -210,9 +203,9 @@
         self._registrations = registrations.RegistrationHandler(
             self._dialect,
             self._directory,
+            self._freshness,
             self._input_errors,
             self._end_earlier_starts,
-            lambda: self._freshness.find_known_at(dialect.RUNNERS),
             config.has_rollouts,
         )
         self._rollouts = rollouts.Rollouts(
@@ -496,10 +489,6 @@
             # Few hosts read the store; the others depend on peers' messages.
             self._mesh.request_update()
 
-    def _note_answer(self, topic: dialect.Topic, at: float) -> None:
-        if topic == dialect.RUNNERS:
-            self._directory.note_answer(at)
-
     def _handle_new_era(self, topic: dialect.Topic, now: float) -> None:
         if topic == dialect.RUNNERS:
             self._directory.note_era(now)
@@ -572,8 +561,6 @@
 
     def _pump(self, now: float) -> None:
         self._pumped_at = now
-        # Often: each delay adds to the time for which a runner that has left
-        # is used.
         self._directory.expire(now)
         self._scheduler.schedule_all(now)
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/registrations.py
@@ -9,6 +9,7 @@
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.process import inputerrors
+from apricotlandingd.gateway.replication import freshness
 from apricotlandingd.gateway.replication import positions
 from apricotlandingd.gateway.runners import directory
 
@@ -23,24 +24,24 @@
         self,
         platform_dialect: dialect.Dialect,
         runners: directory.Directory,
+        fresh: freshness.Freshness,
         input_errors: inputerrors.InputErrors,
         on_start: collections.abc.Callable[[ids.RunnerStart], None],
-        find_known_at: collections.abc.Callable[[], float | None],
         has_rollouts: bool = False,
     ) -> None:
         """Apply records to a directory.
 
-        ``on_start`` is called with each new start of a runner.
-        ``find_known_at`` returns a time at which the store held no record that
-        is new here, or None. Without ``has_rollouts``, runners of all releases
-        are one pool.
+        The directory is told of all answers that ``fresh`` learns of.
+        ``on_start`` is called with each new start of a runner. Without
+        ``has_rollouts``, runners of all releases are one pool.
         """
         self._dialect = platform_dialect
         self._directory = runners
         self._input_errors = input_errors
         self._on_start = on_start
         self._has_rollouts = has_rollouts
-        self._find_known_at = find_known_at
+        self._freshness = fresh
+        fresh.on_answer = self._note_answer
 
     def handle_record(self, record: dialect.Record, now: float) -> bool:
         """Apply the newest record of a runner.
@@ -52,7 +53,7 @@
         release: ids.Release | None = None
         is_older = False
         if record.value is None:
-            known_at = self._find_known_at()
+            known_at = self._freshness.find_known_at(dialect.RUNNERS)
             self._directory.remove(runner, now, known_at)
             state = 'removed'
         else:
@@ -86,6 +87,10 @@
         )
         return is_older
 
+    def _note_answer(self, topic: dialect.Topic, at: float) -> None:
+        if topic == dialect.RUNNERS:
+            self._directory.note_answer(at)
+
     def _retract(self, runner: ids.Runner, detail: str, now: float) -> None:
         # The newest entry counts, and it names no usable runner. With the
         # previous entry, requests would go to a process that was replaced or
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/freshness.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/freshness.py
@@ -87,7 +87,7 @@
         # knew all records of the earlier one.
         self._replaced: dict[dialect.Topic, float] = {}
         # Called with the topic and the time of each answer that this host
-        # learns of. Set by the gateway.
+        # learns of. Set by the handler of registrations.
         self.on_answer: collections.abc.Callable[
             [dialect.Topic, float], None
         ] = lambda topic, at: None
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/storereader.py
@@ -26,7 +26,7 @@
 from apricotlandingd.gateway.replication import records
 from apricotlandingd.gateway.replication import timing
 
-__all__ = ['StoreReader', 'are_all_answered']
+__all__ = ['StoreReader', 'are_all_answered', 'build_readers']
 
 # Delay before the retry of a failed read; it doubles up to the limit.
 INITIAL_RETRY_DELAY_S = 0.1
@@ -276,6 +276,33 @@
         eliot.log_message('gateway:store_regained', topic=self._topic)
 
 
+def build_readers(
+    store: dialect.Store,
+    replica: records.Replica,
+    fresh: freshness.Freshness,
+    find_readers: collections.abc.Callable[[], freshness.Readers],
+    on_outage: collections.abc.Callable[[float], None],
+    on_answer: collections.abc.Callable[[], None],
+    rng: random.Random,
+) -> list[StoreReader]:
+    """Return the readers of one host, one for each topic."""
+    probe_lock = anyio.Lock()
+    return [
+        StoreReader(
+            topic,
+            store,
+            replica,
+            fresh,
+            find_readers,
+            on_outage,
+            on_answer,
+            probe_lock,
+            rng,
+        )
+        for topic in records.TOPICS
+    ]
+
+
 def are_all_answered(
     readers: collections.abc.Iterable[StoreReader], now: float
 ) -> bool:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/runners/directory.py
@@ -270,7 +270,11 @@
         return True
 
     def expire(self, now: float) -> None:
-        """Drop runners whose registration did not come back in time."""
+        """Drop runners whose registration did not come back in time.
+
+        Called often: each delay adds to the time for which a runner that has
+        left is used.
+        """
         for runner, removal in list(self._kept.items()):
             if now < self._find_end(removal):
                 continue
