--- a/tests/beliefsimulation.py
+++ b/tests/changesimulation.py
@@ -20,7 +20,7 @@
 from apricotlandingd.gateway.runners import directory
 import gatewayparts
 
-__all__ = ['Belief', 'Scene', 'System', 'play']
+__all__ = ['Kind', 'Scene', 'System', 'play']
 
 STEP_S = 0.01
 # One way from a host to the store and back, and a message between hosts.
@@ -37,7 +37,7 @@
 CONFIG_KEY = 'config'
 
 
-class Belief(enum.Enum):
+class Kind(enum.Enum):
     """What changes at the store."""
 
     LEAVING = 'leaving'
@@ -51,7 +51,7 @@
 class Scene:
     """What happens; times in seconds."""
 
-    belief: Belief
+    kind: Kind
     hosts: int = 5
     bound_s: float = 2.0
     # Length of an outage before, and from its end to the gap.
@@ -224,8 +224,8 @@
         names = tuple(other.name for other in self.others)
         return freshness.Readers(names, self.name, True)
 
-    def goes_by_old(self, belief: Belief) -> bool:
-        if belief in (Belief.CONFIG, Belief.REVOKED):
+    def goes_by_old(self, kind: Kind) -> bool:
+        if kind in (Kind.CONFIG, Kind.REVOKED):
             return self.version != b'new'
         return bool(self.directory.list_open(gatewayparts.POOL))
 
@@ -321,11 +321,11 @@
         """Cut the reads that wait, and answer none that begins meanwhile."""
         self.store.silences.append(_Silence(self.now, self.now + seconds))
 
-    def change(self, belief: Belief) -> None:
+    def accept(self, kind: Kind) -> None:
         """Let the store accept a change."""
-        if belief is Belief.LEAVING:
+        if kind is Kind.LEAVING:
             self.store.write(dialect.RUNNERS, RUNNER, b'draining')
-        elif belief is Belief.REMOVED:
+        elif kind is Kind.REMOVED:
             self.store.write(dialect.RUNNERS, RUNNER, None)
         else:
             self.store.write(dialect.CONFIG, CONFIG_KEY, b'new')
@@ -342,10 +342,10 @@
     if scene.gap_s:
         system.silence(scene.gap_s)
     system.run_until(begins_at + scene.gap_s * scene.accepted_share)
-    system.change(scene.belief)
+    system.accept(scene.kind)
     accepted_at = last_at = system.now
     while system.now < accepted_at + 3 * scene.bound_s:
         system.step()
-        if any(host.goes_by_old(scene.belief) for host in system.hosts):
+        if any(host.goes_by_old(scene.kind) for host in system.hosts):
             last_at = system.now
     return last_at - accepted_at
--- a/tests/test_late_beliefs.py
+++ b/tests/test_late_changes.py
@@ -6,34 +6,34 @@
 
 from apricotlanding import ids
 from apricotlandingd.gateway import dialect
-import beliefsimulation
+import changesimulation
 import gatewayparts
 
 BOUND_S = 2.0
 SEEDS = 4
-Belief = beliefsimulation.Belief
-Scene = beliefsimulation.Scene
+Kind = changesimulation.Kind
+Scene = changesimulation.Scene
 
 
-class LateBeliefTest(testtools.TestCase):
+class LateChangeTest(testtools.TestCase):
     """Each change takes effect in time, however late a host hears of it."""
 
-    def assert_in_time(self, scene: beliefsimulation.Scene) -> None:
-        for belief in Belief:
-            played = dataclasses.replace(scene, belief=belief)
+    def assert_in_time(self, scene: changesimulation.Scene) -> None:
+        for kind in Kind:
+            played = dataclasses.replace(scene, kind=kind)
             for seed in range(SEEDS):
-                late_s = beliefsimulation.play(played, seed)
+                late_s = changesimulation.play(played, seed)
                 self.assertLess(late_s, played.bound_s, (played, seed))
 
     def test_calm(self) -> None:
         """Guards against a change that is not told at once."""
-        self.assert_in_time(Scene(Belief.LEAVING, gap_s=0.0))
+        self.assert_in_time(Scene(Kind.LEAVING, gap_s=0.0))
 
     def test_reads_are_cut_and_new_ones_hear_nothing(self) -> None:
         """Guards against a bound that counts from when a host hears."""
         for share in (0.05, 0.5, 0.95):
             self.assert_in_time(
-                Scene(Belief.LEAVING, gap_s=1.0, accepted_share=share)
+                Scene(Kind.LEAVING, gap_s=1.0, accepted_share=share)
             )
 
     def test_gap_after_an_outage(self) -> None:
@@ -41,7 +41,7 @@
         for calm_s in (3.0, 3.7):
             self.assert_in_time(
                 Scene(
-                    Belief.LEAVING,
+                    Kind.LEAVING,
                     outage_s=4.0,
                     calm_s=calm_s,
                     gap_s=1.0,
@@ -54,14 +54,14 @@
         for hosts in (1, 2, 12):
             self.assert_in_time(
                 Scene(
-                    Belief.LEAVING, hosts=hosts, gap_s=1.0, accepted_share=0.05
+                    Kind.LEAVING, hosts=hosts, gap_s=1.0, accepted_share=0.05
                 )
             )
 
     def test_longer_bound(self) -> None:
         """Guards against times that do not follow the settings."""
         self.assert_in_time(
-            Scene(Belief.LEAVING, bound_s=3.0, gap_s=1.0, accepted_share=0.05)
+            Scene(Kind.LEAVING, bound_s=3.0, gap_s=1.0, accepted_share=0.05)
         )
 
 
@@ -75,10 +75,10 @@
                 self.play(outage_s, seed)
 
     def play(self, outage_s: float, seed: int) -> None:
-        system = beliefsimulation.System(Scene(Belief.REMOVED), seed)
+        system = changesimulation.System(Scene(Kind.REMOVED), seed)
         system.silence(outage_s)
         system.run_until(system.now + outage_s - 0.5)
-        system.change(Belief.REMOVED)
+        system.accept(Kind.REMOVED)
         back_at = system.now + 0.5 + 2.0
         while system.now < back_at:
             system.step()
@@ -87,7 +87,7 @@
                     host.directory.list_open(gatewayparts.POOL),
                     (outage_s, seed, system.now),
                 )
-        system.store.write(dialect.RUNNERS, beliefsimulation.RUNNER, b'open')
+        system.store.write(dialect.RUNNERS, changesimulation.RUNNER, b'open')
         system.run_until(system.now + 3.0)
         for host in system.hosts:
             self.assertIsNotNone(
