Start and watch the host of the bodies benchmark as the upload tests do

Cause: the benchmark had a start of a host's process, a watch of its memory, a head of a request and a change of the environment of its own, each of which the tests of uploads or the standard library have; a count of received bytes was never read.

Change: it uses them; a host takes what Python runs as several words, so that it can be profiled.

--- a/bench/bodies.py
+++ b/bench/bodies.py
@@ -17,11 +17,11 @@
 import os
 import pathlib
 import pstats
-import signal
 import subprocess
 import sys
 import tempfile
 import typing as ty
+from unittest import mock
 
 import anyio
 import anyio.abc
@@ -31,19 +31,15 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / 'platform' / 'tests'), str(ROOT / 'tests')]
 
-import plaincaller  # noqa: E402
 import platformrunner  # noqa: E402
 import platformsystem  # noqa: E402
 import uploadscenes  # noqa: E402
 
-from apricotlandingd.gateway.process import processmemory  # noqa: E402
-from apricotstandins import processes  # noqa: E402
-
-MB = 1_000_000
+MB = uploadscenes.MB
 MEMORY_MB = 300
 MAX_BODY_BYTES = 4_500_000
 LARGE_BYTES = 4 * MB
-PART_BYTES = 64 * 1024
+PART_BYTES = uploadscenes.PART_BYTES
 READ_BYTES = 256 * 1024
 PLAY_S = 8.0
 # Seconds after its request at which a late caller begins to read.
@@ -54,7 +50,6 @@
 WORK_S = 0.3
 EVENTS = 40
 EVENT_INTERVAL_S = 0.02
-WATCH_INTERVAL_S = 0.02
 SHOWN_FUNCTIONS = 25
 SOURCES = (
     'packages/apricotlanding/src',
@@ -83,7 +78,6 @@
     system: platformsystem.System
     answers: int = 0
     other: int = 0
-    received_bytes: int = 0
 
     async def connect(self) -> anyio.abc.SocketStream:
         """Return a new connection to the host."""
@@ -105,7 +99,6 @@
             data = await stream.receive(READ_BYTES)
             size += len(data)
             tail = (tail + data)[-len(end) :] if end else b''
-        self.received_bytes += size
         return is_good
 
 
@@ -118,11 +111,6 @@
     return None
 
 
-def make_head(route: str, attempt: str, *lines: str) -> bytes:
-    """Return the head of a caller's request."""
-    return plaincaller.make_head(route, attempt, *lines, deadline_ms=10_000)
-
-
 async def send_parts(stream: anyio.abc.SocketStream, data: bytes) -> None:
     """Send data as a caller does that has it at hand."""
     for start in range(0, len(data), PART_BYTES):
@@ -135,7 +123,7 @@
 @register('96 uploads of 1 MB, stated length', 96)
 async def upload_with_length(play: Play, attempt: str) -> bool:
     """Upload a body whose length is stated."""
-    head = make_head('slow', attempt, f'Content-Length: {MB}')
+    head = uploadscenes.make_head('slow', attempt, f'Content-Length: {MB}')
     async with await play.connect() as stream:
         await send_parts(stream, head + b'x' * MB)
         return await play.read_answer(stream)
@@ -144,7 +132,9 @@
 @register('24 uploads of 4 MB in chunks', 24)
 async def upload_in_chunks(play: Play, attempt: str) -> bool:
     """Upload a body in chunks of 64 KB."""
-    head = make_head('slow', attempt, 'Transfer-Encoding: chunked')
+    head = uploadscenes.make_head(
+        'slow', attempt, 'Transfer-Encoding: chunked'
+    )
     async with await play.connect() as stream:
         await stream.send(head)
         for _ in range(LARGE_BYTES // PART_BYTES):
@@ -157,7 +147,9 @@
 async def read_late(play: Play, attempt: str) -> bool:
     """Ask for a large answer, and begin to read late."""
     async with await play.connect() as stream:
-        await stream.send(make_head('large', attempt, 'Content-Length: 0'))
+        await stream.send(
+            uploadscenes.make_head('large', attempt, 'Content-Length: 0')
+        )
         await anyio.sleep(LATE_S)
         return await play.read_answer(stream)
 
@@ -166,7 +158,9 @@
 async def read_at_once(play: Play, attempt: str) -> bool:
     """Ask for a large answer, and read it as it comes."""
     async with await play.connect() as stream:
-        await stream.send(make_head('large', attempt, 'Content-Length: 0'))
+        await stream.send(
+            uploadscenes.make_head('large', attempt, 'Content-Length: 0')
+        )
         return await play.read_answer(stream)
 
 
@@ -175,7 +169,8 @@
     """Send a small request."""
     async with await play.connect() as stream:
         await stream.send(
-            make_head('read', attempt, 'Content-Length: 5') + b'short'
+            uploadscenes.make_head('read', attempt, 'Content-Length: 5')
+            + b'short'
         )
         return await play.read_answer(stream)
 
@@ -184,7 +179,9 @@
 async def follow_stream(play: Play, attempt: str) -> bool:
     """Read a stream of events."""
     async with await play.connect() as stream:
-        await stream.send(make_head('stream', attempt, 'Content-Length: 0'))
+        await stream.send(
+            uploadscenes.make_head('stream', attempt, 'Content-Length: 0')
+        )
         return await play.read_answer(stream, b'0\r\n\r\n')
 
 
@@ -222,34 +219,17 @@
     return (int(user) + int(system)) / os.sysconf('SC_CLK_TCK')
 
 
-@contextlib.contextmanager
-def use_sources(tree: pathlib.Path) -> collections.abc.Iterator[None]:
-    """Let processes that are started meanwhile import a tree's packages."""
-    paths = [str(tree / source) for source in SOURCES]
-    before = os.environ.get('PYTHONPATH')
-    os.environ['PYTHONPATH'] = os.pathsep.join(paths)
-    try:
-        yield
-    finally:
-        del os.environ['PYTHONPATH']
-        if before is not None:
-            os.environ['PYTHONPATH'] = before
-
-
 def start_host(
     system: platformsystem.System, tree: pathlib.Path, profile: str
-) -> processes.Process:
+) -> uploadscenes.Host:
     """Start a host of a tree."""
-    system.write_settings(0)
-    arguments = ['apricotplatform']
+    program = [uploadscenes.PROGRAM]
     if profile:
-        arguments = ['cProfile', '-o', profile, '-m', 'apricotplatform']
-    with use_sources(tree):
-        return processes.Process(
-            'host-0',
-            [*arguments, '--settings', str(system.get_settings_path(0))],
-            system.directory / 'host-0.log',
-        )
+        program = ['cProfile', '-o', profile, '-m', *program]
+    paths = [str(tree / source) for source in SOURCES]
+    environment = {'PYTHONPATH': os.pathsep.join(paths)}
+    with mock.patch.dict(os.environ, environment):
+        return uploadscenes.Host(system, 0, *program)
 
 
 async def call_until(play: Play, row: Row, name: str, ends_at: float) -> None:
@@ -287,27 +267,25 @@
         host = start_host(system, tree, profile)
         await system.wait_ready()
         play = Play(system)
-        most_bytes = 0
-        began_s = read_cpu_s(host.pid)
+        pid = host.process.pid
+        began_s = read_cpu_s(pid)
         ends_at = anyio.current_time() + PLAY_S
-        async with anyio.create_task_group() as group:
-            for number in range(callers):
-                group.start_soon(
-                    call_until, play, row, f'caller-{number}', ends_at
-                )
-            while anyio.current_time() < ends_at:
-                held = processmemory.read_process_bytes(host.pid)
-                most_bytes = max(most_bytes, held)
-                await anyio.sleep(WATCH_INTERVAL_S)
-        cpu_s = read_cpu_s(host.pid) - began_s
-        host.send(signal.SIGTERM)
-        await anyio.to_thread.run_sync(host.wait)
+        async with anyio.create_task_group() as watchers:
+            watchers.start_soon(host.watch_memory)
+            async with anyio.create_task_group() as group:
+                for number in range(callers):
+                    group.start_soon(
+                        call_until, play, row, f'caller-{number}', ends_at
+                    )
+            watchers.cancel_scope.cancel()
+        cpu_s = read_cpu_s(pid) - began_s
+        await anyio.to_thread.run_sync(host.process.terminate)
         return {
             'answers': play.answers,
             'other': play.other,
             'cpu_s': cpu_s,
             'cpu_ms_an_answer': 1000 * cpu_s / max(1, play.answers),
-            'most_mb': most_bytes / MB,
+            'most_mb': host.most_bytes / MB,
         }
 
 
