--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,13 +8,17 @@
 import base64
 import collections.abc
 import json
+import pathlib
+import tempfile
 import typing as ty
 
 import anyio
+import click
 import msgpack
 import pydantic
 import testtools
 
+from apricotctl import traces
 from apricotlanding import addresses
 from apricotlanding import errors
 from apricotlanding import hostlist
@@ -264,3 +268,14 @@
         for text in (b'[' * DEEP, b'a: ' + b'[' * DEEP + b']' * DEEP):
             loaded = yamlfiles.load_model(text, pydantic.BaseModel)
             self.assertTrue(loaded.is_error())
+
+    def test_odd_lines_of_a_trace_are_listed(self) -> None:
+        """Guards against a command that ends with the error of a parser."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'trace'
+            path.write_bytes(DEEP_JSON + b'\n7\n')
+            error = self.assertRaises(
+                click.ClickException, traces.read_trace, path
+            )
+        self.assertIn('line 1', error.message)
+        self.assertIn('line 2', error.message)
