Parse one request at a time, and only what it takes

What callers saw: a host that was ended by 40 connections, each with trailers without end or with requests sent ahead whose answers it did not read, at every listener.

Cause, shown by a connection without a network to which each flood sends 2 MB (held after it): trailers 33 MB, also behind a refused request: the parser hands each to the list of headers, which nobody bounds. Requests sent ahead 60 MB, with "Expect" 28 and 40 MB: all heads of a read are parsed, 8 KB of them into some hundred requests; each answer let a whole read in and took one of them off, so what was read and not answered grew by 778,806 bytes in 100 sends. One trailer 2 MB, a head of four-byte headers 1.75 MB, uploads sent ahead 3.8 MB.

Change: a framer of our own (`framing`, without I/O) finds where heads, contents and requests end. The HTTP parser gets one complete head, when the request before it has arrived and is answered; until then what was sent ahead stays bytes. A connection that holds 4 KB of other requests is not read. Lines before chunks, trailers and blank lines are dropped, and bounded: trailers and lines 16 KB, blank lines 64 bytes, all bytes without content of a chunked body as many as `maxBodyBytes`, headers 4,096. A body with little content is read 1 KB at a time, eight connections a pass of the event loop. The rest of a body that nobody wants ends with the idle time. A connection that sends nothing is closed after the idle time, and one that was closed but whose caller does not read is dropped after 10 s.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -221,13 +221,16 @@
         await self._server.serve(sockets=self._sockets)
         self._closed.set()
 
-    def set_timeouts(self, idle_s: float, head_s: float) -> None:
+    def set_limits(
+        self, idle_s: float, head_s: float, body_bytes: int
+    ) -> None:
         """Set how long callers may stay idle, and take to send a head.
 
-        The first one holds for new connections.
+        The first one holds for new connections. ``body_bytes`` are the most
+        of a body; one that comes in chunks may have as many without content.
         """
         self._config.timeout_keep_alive = math.ceil(idle_s + TIMEOUT_MARGIN_S)
-        self._connections.set_head_timeout(head_s + TIMEOUT_MARGIN_S)
+        self._connections.set_limits(head_s + TIMEOUT_MARGIN_S, body_bytes)
 
     def stop(self) -> None:
         """Close the listener and idle connections; others are completed."""
--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -1,22 +1,27 @@
 """The connections of an HTTP server, and what they hold of requests.
 
-``uvicorn`` parses HTTP. What its connections hold before the application has
-admitted a request is bounded here: the bytes that are read, incomplete heads,
-and the requests that begin at the same moment.
+``framing`` finds where requests end, and ``uvicorn`` calls the application
+with each. What connections hold before, beside and after their requests is
+bounded here: the bytes that are read, incomplete heads, the requests that
+begin at the same moment, and answers that nobody reads. A connection that
+holds all that it may is not read.
 """
 
 import asyncio
 import collections
+import collections.abc
+import contextlib
 import select
 import typing as ty
 
+import httptools
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
+from apricotlanding import framing
+
 __all__ = ['CONNECTION_KEY', 'MAX_UNREAD_BYTES', 'Connection', 'Connections']
 
-# Limit on the size of the request line and headers.
-HEAD_LIMIT_BYTES = 64 * 1024
 # Most bytes of incomplete heads of all connections together, where a head is
 # longer than the parser gets at once.
 LONG_HEADS_BYTES = 4 * 1024 * 1024
@@ -29,13 +34,20 @@
 LONG_HEAD_RETRY_AFTER_S = 2
 # Where a scope's extensions have the ``Connection``.
 CONNECTION_KEY = 'apricotlanding.connection'
-# Most bytes that the parser gets at once. It makes a request of each head in
-# them, which takes several times its size, and reads no further while one
-# waits for the answer to another on its connection.
+# Most bytes that a connection holds beside a request, or of an incomplete head
+# that has claimed no more.
 PARSE_BYTES = 8 * 1024
+# Most bytes of other requests that it holds before it is read again. Less than
+# above, so that not each answer leads to a read.
+AHEAD_BYTES = PARSE_BYTES // 2
+# Most bytes that are read at once of a body that has little content, and how
+# many connections are read like that in one pass of the event loop. Bytes
+# without content take far more processor time than others.
+SPARSE_READ_BYTES = 1024
+SPARSE_READS_PER_PASS = 8
 # Most bytes that are read at once of a body that the application receives.
-# Nothing else is read in larger parts than the parser gets: all connections
-# may be read before the application learns of a request.
+# Nothing else is read in parts as large: all connections may be read before
+# the application learns of a request.
 READ_BYTES = 64 * 1024
 # Most bytes of a body that the server has read and the application has not.
 MAX_UNREAD_BYTES = flow_control.HIGH_WATER_LIMIT + READ_BYTES
@@ -43,6 +55,8 @@
 # answered and the connection is to be closed. Closing it with unread data
 # would reset it, and the caller might lose the answer.
 LINGER_S = 2.0
+# How long a connection that was closed waits for its caller to read the rest.
+UNREAD_S = 10.0
 
 
 @ty.final
@@ -90,47 +104,51 @@
 
 
 @ty.final
-class _HeadLimits:
-    # What holds for the incomplete heads of all connections.
+class _Limits:
+    # What holds for all connections.
 
     def __init__(self) -> None:
-        self.timeout_s = HEAD_TIMEOUT_S
-        # Bytes of the long ones.
-        self._bytes = 0
+        self.head_timeout_s = HEAD_TIMEOUT_S
+        self.framing_bytes = framing.FRAMING_LIMIT_BYTES
+        # Bytes of the long heads that are incomplete.
+        self._head_bytes = 0
 
-    def claim(self, size: int) -> bool:
-        if self._bytes + size > LONG_HEADS_BYTES:
+    def claim_head(self, size: int) -> bool:
+        if self._head_bytes + size > LONG_HEADS_BYTES:
             return False
-        self._bytes += size
+        self._head_bytes += size
         return True
 
-    def release(self, size: int) -> None:
-        self._bytes -= size
+    def release_head(self, size: int) -> None:
+        self._head_bytes -= size
 
 
 @ty.final
-class _RequestGate:
-    # Lets so many requests begin in each pass of the event loop. Connections
+class _Turns:
+    # Lets so many connections go on in each pass of the event loop. Those
     # beyond that wait in order of arrival, and are not read meanwhile.
 
-    def __init__(self) -> None:
-        self._begun = 0
-        self._waiting: collections.deque[_BoundedProtocol] = (
-            collections.deque()
-        )
+    def __init__(self, per_pass: int) -> None:
+        self._per_pass = per_pass
+        self._used = 0
+        self._waiting: collections.deque[
+            collections.abc.Callable[[], None]
+        ] = collections.deque()
         self._is_scheduled = False
 
-    def is_closed(self) -> bool:
-        return bool(self._waiting) or self._begun >= REQUESTS_PER_PASS
+    def are_used(self) -> bool:
+        return bool(self._waiting) or self._used >= self._per_pass
 
-    def note_begun(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._begun += 1
+    def use(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._used += 1
         self._schedule(loop)
 
     def wait(
-        self, protocol: '_BoundedProtocol', loop: asyncio.AbstractEventLoop
+        self,
+        go_on: collections.abc.Callable[[], None],
+        loop: asyncio.AbstractEventLoop,
     ) -> None:
-        self._waiting.append(protocol)
+        self._waiting.append(go_on)
         self._schedule(loop)
 
     def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
@@ -140,24 +158,50 @@
 
     def _begin_pass(self, loop: asyncio.AbstractEventLoop) -> None:
         self._is_scheduled = False
-        self._begun = 0
-        while self._waiting and self._begun < REQUESTS_PER_PASS:
-            self._begun += 1
-            self._waiting.popleft().parse_waiting()
+        self._used = 0
+        while self._waiting and self._used < self._per_pass:
+            self._used += 1
+            self._waiting.popleft()()
         if self._waiting:
             self._schedule(loop)
 
 
+@ty.final
+class _Shared:
+    # What all connections of a server share.
+
+    def __init__(self) -> None:
+        self.limits = _Limits()
+        # Turns to begin a request, and to read a body with little content.
+        self.requests = _Turns(REQUESTS_PER_PASS)
+        self.sparse_reads = _Turns(SPARSE_READS_PER_PASS)
+        # What was refused, by the reason.
+        self.refusals: collections.Counter[str] = collections.Counter()
+
+
+@ty.final
+class _Flow(flow_control.FlowControl):
+    # Does not read a connection that holds all that it may.
+
+    def __init__(self, protocol: '_BoundedProtocol') -> None:
+        super().__init__(protocol.transport)
+        self._protocol = protocol
+
+    def resume_reading(self) -> None:
+        if not self._protocol.is_full():
+            super().resume_reading()
+
+
 @ty.final
 class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
-    # The parser buffers the request line and headers until they are complete.
-    # Without a limit, a caller that never completes them would exhaust the
-    # memory of the daemon, which would be killed with all its requests.
-
-    _is_reading_head = False
-    _head_bytes = 0
-    # The head of a request is complete; the application knows nothing of it.
-    _has_new_request = False
+    # What arrives stays bytes in the framer until its turn: the parser gets
+    # one complete head at a time, and only when the request before it has
+    # arrived and is answered.
+
+    # The parser has read a head; the application knows nothing of it.
+    _has_new_head = False
+    # The caller may send another request after this one.
+    _is_persistent = False
     # The server is closing; data that has already arrived is still read and
     # the request is answered.
     _is_closing = False
@@ -165,22 +209,35 @@
     _is_lingering = False
     _connection: Connection | None = None
 
-    def __init__(
-        self, limits: _HeadLimits, gate: _RequestGate, **options: ty.Any
-    ) -> None:
+    def __init__(self, shared: _Shared, **options: ty.Any) -> None:
         super().__init__(**options)
-        self._head_limits = limits
-        self._gate = gate
-        # The gate will call parse_waiting.
+        # Made for each head.
+        self.parser = None  # type: ignore[assignment]
+        self._framer = framing.Framer()
+        self._shared = shared
+        # It waits for its turn.
         self._is_waiting = False
-        # The gate has called it; the head of the request is not complete yet.
+        # It has a turn to begin a request whose head is not complete yet.
         self._has_turn = False
+        # What is held is the beginning of a head.
+        self._needs_more = False
         # Bytes of the head that are claimed.
         self._claimed = 0
         self._head_timer: asyncio.TimerHandle | None = None
-        # What has arrived and waits: for the gate, or behind a request that
-        # waits for the answer to another.
-        self._unparsed = bytearray()
+        self._abort_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(ty.cast(asyncio.Transport, transport))
+        self.flow = _Flow(self)
+        self._start_idle_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._forget_head()
+        self._unset_keepalive_if_required()
+        if self._abort_timer is not None:
+            self._abort_timer.cancel()
+            self._abort_timer = None
+        super().connection_lost(exc)
 
     def shutdown(self) -> None:
         # A connection without a request in progress may still hold one: unread
@@ -189,7 +246,7 @@
         # a reset and no response. Data that arrives later finds the connection
         # closed.
         if not self._is_answering() and (
-            self._is_reading_head or self._has_unread()
+            self._is_reading_head() or self._has_unread()
         ):
             self._is_closing = True
             return
@@ -198,147 +255,219 @@
     def _has_unread(self) -> bool:
         if self.transport.is_closing():
             return False
-        if self._unparsed:
-            return True
         poller = select.poll()
         raw_socket = self.transport.get_extra_info('socket')
         poller.register(raw_socket.fileno(), select.POLLIN)
         return bool(poller.poll(0))
 
+    # Reading.
+
+    def choose_read_size(self) -> int:
+        """Return the most bytes to read at once."""
+        framer = self._framer
+        if framer.is_at_head():
+            if self._has_to_wait():
+                # Shows that there is a request, which is read at its turn.
+                return 1
+            if framer.held < PARSE_BYTES:
+                return PARSE_BYTES - framer.held
+            return PARSE_BYTES
+        if framer.is_mostly_framing():
+            return SPARSE_READ_BYTES
+        # What is read beyond the body waits for its turn.
+        return min(READ_BYTES, max(PARSE_BYTES, framer.left))
+
+    def is_full(self) -> bool:
+        """Tell whether the connection holds all that it may."""
+        if self._is_waiting:
+            return True
+        if not self._framer.is_at_head():
+            return len(self.cycle.body) > flow_control.HIGH_WATER_LIMIT
+        if self._needs_more:
+            return self._framer.held >= max(PARSE_BYTES, self._claimed + 1)
+        return self._framer.held >= AHEAD_BYTES
+
     def data_received(self, data: bytes) -> None:
-        if self._is_waiting or self._has_to_wait():
-            self._wait_for_turn(data)
+        if self.transport.is_closing():
             return
-        if not self._unparsed and len(data) <= PARSE_BYTES:
-            self._parse(data)
+        self._framer.receive(data)
+        self._advance()
+
+    def _advance(self) -> None:
+        # Takes what is held, as far as the connection has a turn.
+        try:
+            while not self.transport.is_closing():
+                if not self._take_next():
+                    break
+        except framing.Violation as violation:
+            self._refuse(violation)
             return
-        self._unparsed += data
-        self._parse_unparsed()
-
-    def _wait_for_turn(self, data: bytes) -> None:
-        self._unset_keepalive_if_required()
-        self._unparsed += data
-        if not self._is_waiting:
-            self._is_waiting = True
+        if self._framer.is_mostly_framing():
+            self._await_sparse_read()
+        if self.is_full():
             self.flow.pause_reading()
-            self._gate.wait(self, self.loop)
 
-    def parse_waiting(self) -> None:
-        """Parse what has arrived before the turn of this connection."""
+    def _take_next(self) -> bool:
+        # Takes a head, or a part of a body, from what has arrived; False if
+        # none can be taken.
+        framer = self._framer
+        if not framer.is_at_head():
+            data = framer.take_content()
+            self._receive_content(data)
+            if framer.is_at_head():
+                self._end_message()
+                return True
+            return False
+        if self._is_busy() or not framer.held:
+            return False
+        if self._has_to_wait():
+            self._wait_for_turn()
+            return False
+        head = framer.take_head()
+        self._needs_more = head is None
+        if head is None:
+            # Blank lines are no part of a head.
+            if framer.held:
+                self._await_head()
+                self._claim_long_head()
+            return False
+        self._begin_request(head)
+        return True
+
+    def _is_answering(self) -> bool:
+        return self.cycle is not None and not self.cycle.response_complete
+
+    def _is_busy(self) -> bool:
+        # A request has not arrived wholly, or is not answered.
+        return self._is_answering() or not self._framer.is_at_head()
+
+    def _is_reading_head(self) -> bool:
+        return self._head_timer is not None or self._framer.held > 0
+
+    # Turns.
+
+    def _has_to_wait(self) -> bool:
+        if self._has_turn or self._is_busy():
+            return False
+        return self._is_waiting or self._shared.requests.are_used()
+
+    def _wait_for_turn(self) -> None:
+        if self._is_waiting:
+            return
+        self._is_waiting = True
+        self._await_head()
+        self._shared.requests.wait(self._begin_turn, self.loop)
+
+    def _begin_turn(self) -> None:
+        # Takes what has arrived before.
         self._is_waiting = False
         self._has_turn = True
         if self.transport.is_closing():
             return
         self.flow.resume_reading()
-        self._parse_unparsed()
+        self._advance()
 
-    def _has_to_wait(self) -> bool:
-        if self._is_reading_head or self._has_turn or self._is_answering():
-            return False
-        is_dropping_body = self.cycle is not None and self.cycle.more_body
-        return not is_dropping_body and self._gate.is_closed()
+    def _await_sparse_read(self) -> None:
+        turns = self._shared.sparse_reads
+        if self._is_waiting:
+            return
+        if not turns.are_used():
+            turns.use(self.loop)
+            return
+        self._is_waiting = True
+        turns.wait(self._read_sparse, self.loop)
 
-    def _parse_unparsed(self) -> None:
-        while self._unparsed and not self.transport.is_closing():
-            if self.pipeline or self._is_waiting:
-                self.flow.pause_reading()
-                return
-            data = bytes(self._unparsed[:PARSE_BYTES])
-            del self._unparsed[:PARSE_BYTES]
-            self._parse(data)
+    def _read_sparse(self) -> None:
+        self._is_waiting = False
+        if not self.transport.is_closing():
+            self.flow.resume_reading()
 
-    def choose_read_size(self) -> int:
-        """Return the most bytes to read at once."""
-        cycle = self.cycle
-        if self._has_to_wait():
-            # Shows that there is a request, which is read at its turn.
-            return 1
-        if cycle is None or self._is_reading_head or not cycle.more_body:
-            return PARSE_BYTES
-        return READ_BYTES
-
-    def _parse(self, data: bytes) -> None:
-        super().data_received(data)
-        if self._has_new_request:
-            self._has_new_request = False
-            self._await_application()
-        if not self._is_reading_head or self.transport.is_closing():
-            return
-        self._head_bytes += len(data)
-        if self._head_timer is None:
-            self._start_head_timer()
-        if self._head_bytes > HEAD_LIMIT_BYTES:
-            self._end_head(
-                400,
-                'The request line and headers are longer than'
-                f' {HEAD_LIMIT_BYTES} bytes; send only the headers that the'
-                ' interface names.',
-            )
-        elif self._head_bytes > PARSE_BYTES:
-            self._claim_long_head()
+    def _continue(self) -> None:
+        # Takes what has arrived behind a request that was answered.
+        self._advance()
+        if not self._is_busy():
+            self.flow.resume_reading()
+
+    # Heads.
 
-    def _start_head_timer(self) -> None:
-        self._head_timer = self.loop.call_later(
-            self._head_limits.timeout_s, self._end_late_head
+    def _start_idle_timer(self) -> None:
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    def timeout_keep_alive_handler(self) -> None:
+        self._close()
+
+    def _await_head(self) -> None:
+        # A head has begun; it has to come in time.
+        self._unset_keepalive_if_required()
+        if self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                self._shared.limits.head_timeout_s, self._end_late_head
+            )
+
     def _end_late_head(self) -> None:
-        if self._is_answering():
-            self._start_head_timer()
-            return
-        self._end_head(408, 'The request line and headers came too late.')
+        self._shared.refusals['head_time'] += 1
+        self._answer_and_close(
+            408, 'The request line and headers came too late.'
+        )
 
     def _claim_long_head(self) -> None:
-        growth = self._head_bytes - self._claimed
-        if self._head_limits.claim(growth):
-            self._claimed = self._head_bytes
+        held = self._framer.held
+        if held < PARSE_BYTES:
             return
-        if self._is_answering():
-            # The rest is read when the request before it is answered.
-            self.flow.pause_reading()
+        if self._shared.limits.claim_head(held - self._claimed):
+            self._claimed = held
             return
-        self._end_head(
+        self._shared.refusals['long_heads'] += 1
+        self._answer_and_close(
             503,
             'Too many long heads arrive at a time; send fewer headers, or'
             ' return later.',
             f'retry-after: {LONG_HEAD_RETRY_AFTER_S}\r\n',
         )
 
-    def _end_head(self, status: int, text: str, header: str = '') -> None:
-        # Refuses a request whose head is incomplete.
-        if self.transport.is_closing():
-            return
-        line = httptools_impl.STATUS_LINE[status].decode()
-        head = (
-            f'{line}content-type: text/plain; charset=utf-8\r\n'
-            f'content-length: {len(text)}\r\n{header}connection: close\r\n\r\n'
-        )
-        self.transport.write((head + text).encode())
-        self.transport.close()
-
-    def _is_answering(self) -> bool:
-        return self.cycle is not None and not self.cycle.response_complete
-
     def _forget_head(self) -> None:
-        self._is_reading_head = False
-        self._head_limits.release(self._claimed)
+        self._shared.limits.release_head(self._claimed)
         self._claimed = 0
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def _begin_request(self, head: bytes) -> None:
         self._forget_head()
-        super().connection_lost(exc)
-
-    def _await_application(self) -> None:
-        # The rest of a body is read once the application asks for it.
-        if self.cycle.more_body and not self.cycle.response_complete:
+        self._unset_keepalive_if_required()
+        self._has_new_head = False
+        self.parser = httptools.HttpRequestParser(self)
+        try:
+            with contextlib.suppress(httptools.HttpParserUpgrade):
+                # An upgrade that is offered is not taken.
+                self.parser.feed_data(head)
+            if not self._has_new_head:
+                raise httptools.HttpParserError
+            length = framing.find_length(self.headers)
+            # It has a complete head and no request yet.
+            super().on_headers_complete()
+        except (httptools.HttpParserError, AttributeError, ValueError):
+            raise framing.make_malformed('the head') from None
+        finally:
+            self.parser = None  # type: ignore[assignment]
+        if not self._has_turn:
+            self._shared.requests.use(self.loop)
+        self._has_turn = False
+        self._framer.begin_body(length, self._shared.limits.framing_bytes)
+        self.cycle.transport = _LingeringTransport(self)
+        if self._is_closing or not self._is_persistent:
+            self.cycle.keep_alive = False
+        if self._framer.is_at_head():
+            self._end_message()
+            # Shows when the caller disconnects.
+            self.flow.resume_reading()
+        else:
+            # The body is read once the application asks for it.
             self.flow.pause_reading()
 
     def on_message_begin(self) -> None:
-        self._is_reading_head = True
-        self._head_bytes = 0
         super().on_message_begin()
         if self._connection is None:
             self._connection = Connection(self)
@@ -346,38 +475,84 @@
         self.scope['extensions'] = extensions  # type: ignore[typeddict-item]
 
     def on_headers_complete(self) -> None:
-        self._forget_head()
-        if not self._has_turn:
-            self._gate.note_begun(self.loop)
-        self._has_turn = False
-        self._has_new_request = True
-        super().on_headers_complete()
-        self.cycle.transport = _LingeringTransport(self)
-        if self._is_closing:
-            self.cycle.keep_alive = False
+        # The application is called once the parser has accepted the head.
+        self._has_new_head = True
+        self._is_persistent = self.parser.should_keep_alive()
 
     def on_message_complete(self) -> None:
-        super().on_message_complete()
+        # The framer tells where a request ends.
+        return
+
+    # Bodies.
+
+    def _receive_content(self, data: bytes) -> None:
+        cycle = self.cycle
+        if not data or cycle.response_complete:
+            return
+        cycle.body += data
+        cycle.message_event.set()
+
+    def _end_message(self) -> None:
+        self.cycle.more_body = False
+        self.cycle.message_event.set()
         if self._is_lingering:
-            self.transport.close()
+            self._close()
 
     def on_response_complete(self) -> None:
         if self.cycle.response_complete:
             # What has arrived of a body that nobody reads any more.
             self.cycle.body = bytearray()
         super().on_response_complete()
-        if self._unparsed and not self.pipeline:
-            self.loop.call_soon(self._parse_unparsed)
+        if self._framer.held:
+            self.loop.call_soon(self._continue)
+
+    # Closing.
 
     def close_after_body(self) -> None:
         """Close the connection once the request has arrived."""
         cycle = self.cycle
         is_answered = cycle.response_complete and not cycle.disconnected
         if not is_answered or not cycle.more_body:
-            self.transport.close()
+            self._close()
             return
         self._is_lingering = True
-        self.loop.call_later(LINGER_S, self.transport.close)
+        self.loop.call_later(LINGER_S, self._close)
+
+    def _refuse(self, violation: framing.Violation) -> None:
+        self._shared.refusals[violation.kind.value] += 1
+        if self.cycle is not None and self.cycle.more_body:
+            if self.cycle.response_started:
+                # An answer that is not complete must not look like that.
+                self._close()
+                return
+        self._answer_and_close(violation.status, violation.text)
+
+    def _answer_and_close(
+        self, status: int, text: str, header: str = ''
+    ) -> None:
+        if self.transport.is_closing():
+            return
+        line = httptools_impl.STATUS_LINE[status].decode()
+        head = (
+            f'{line}content-type: text/plain; charset=utf-8\r\n'
+            f'content-length: {len(text)}\r\n{header}connection: close\r\n\r\n'
+        )
+        self.transport.write((head + text).encode())
+        self._close()
+
+    def _close(self) -> None:
+        if self.transport.is_closing():
+            return
+        if self._is_answering():
+            # For the application, the caller has disconnected.
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+        self.transport.close()
+        if self.transport.get_write_buffer_size():
+            # A caller that does not read would keep the connection open.
+            self._abort_timer = self.loop.call_later(
+                UNREAD_S, self.transport.abort
+            )
 
 
 @ty.final
@@ -419,14 +594,22 @@
     def __init__(self) -> None:
         """Start without connections."""
         self._buffer = memoryview(bytearray(READ_BYTES))
-        self._head_limits = _HeadLimits()
-        self._gate = _RequestGate()
+        self._shared = _Shared()
 
     def make_protocol(self, **options: ty.Any) -> asyncio.BufferedProtocol:
         """Return what reads a new connection."""
-        protocol = _BoundedProtocol(self._head_limits, self._gate, **options)
+        protocol = _BoundedProtocol(self._shared, **options)
         return _BoundedReader(protocol, self._buffer)
 
-    def set_head_timeout(self, seconds: float) -> None:
-        """Set the time that callers may take to send a head."""
-        self._head_limits.timeout_s = seconds
+    def set_limits(self, head_timeout_s: float, framing_bytes: int) -> None:
+        """Set the time that a head may take, and what chunks may add.
+
+        ``framing_bytes`` are those of a chunked body that are no content.
+        """
+        self._shared.limits.head_timeout_s = head_timeout_s
+        self._shared.limits.framing_bytes = framing_bytes
+
+    @property
+    def refusals(self) -> collections.abc.Mapping[str, int]:
+        """Return how often callers were refused, by the reason."""
+        return self._shared.refusals
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -498,7 +498,10 @@
 
     def _apply_catalogue(self, found: catalogue.Catalogue) -> None:
         self._catalogue = found
-        self._server.set_timeouts(found.limits.idle_s, found.limits.head_s)
+        limits = found.limits
+        self._server.set_limits(
+            limits.idle_s, limits.head_s, limits.max_body_bytes
+        )
 
     # States of hosts.
 
