Keep descriptors for runners: bound the connections of callers

What callers saw: 6,000 idle connections left none of 4,100 descriptors for runners or the store; new callers got no connection.

Cause: nothing bounded the connections of a listener, and one that never sent a byte was never closed. The limit of the system was the only one, and the host's own calls failed at it as well.

Beyond it a new connection replaces one without a request: the first that never sent one, unless it is younger than 1 s and others are idle, then the one that was idle for longest. While all have requests, 64 more are accepted to be told 503 and when to return. Listeners for readiness, metrics and operators have 64 connections, whose unread answers are dropped after 10 s. What was refused is counted by reason.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -20,6 +20,7 @@
 from apricotlanding import addresses
 from apricotlanding import connections
 from apricotlanding import errors
+from apricotlanding import refusals
 
 __all__ = [
     'App',
@@ -188,10 +189,25 @@
 class Server:
     """An HTTP listener."""
 
-    def __init__(self, app: App, *listen_addresses: addresses.Address) -> None:
-        """Bind the addresses; raises OSError if one cannot be bound."""
-        self._sockets = [bind_address(address) for address in listen_addresses]
-        self._connections = connections.Connections()
+    def __init__(
+        self,
+        app: App,
+        *listen_addresses: addresses.Address,
+        internal: collections.abc.Sequence[addresses.Address] = (),
+        descriptors: int | None = None,
+    ) -> None:
+        """Bind the addresses; raises OSError if one cannot be bound.
+
+        Those that are ``internal`` are for operators and other systems; they
+        have few connections. ``descriptors`` are the most that the process
+        may open, if they are fewer than the system's limit.
+        """
+        self._sockets = [
+            bind_address(address) for address in (*listen_addresses, *internal)
+        ]
+        self._connections = connections.Connections(
+            descriptors, {address.port for address in internal}
+        )
         self._config = config = uvicorn.Config(
             app,
             loop='none',
@@ -247,6 +263,12 @@
         """Return the number of open connections, including idle ones."""
         return len(self._server.server_state.connections)
 
+    def observe(
+        self, on_refusal: collections.abc.Callable[[refusals.Refusal], None]
+    ) -> None:
+        """Call a function with what connections are refused for."""
+        self._connections.observe(on_refusal)
+
     def count_unsent_bytes(self) -> int:
         """Return the bytes that are not yet written to the sockets."""
         return sum(
--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -11,6 +11,7 @@
 import collections
 import collections.abc
 import contextlib
+import resource
 import select
 import typing as ty
 
@@ -19,8 +20,16 @@
 from uvicorn.protocols.http import httptools_impl
 
 from apricotlanding import framing
+from apricotlanding import openconnections
+from apricotlanding import refusals
 
-__all__ = ['CONNECTION_KEY', 'MAX_UNREAD_BYTES', 'Connection', 'Connections']
+__all__ = [
+    'CONNECTION_KEY',
+    'MAX_UNREAD_BYTES',
+    'Connection',
+    'Connections',
+    'count_descriptors',
+]
 
 # Most bytes of incomplete heads of all connections together, where a head is
 # longer than the parser gets at once.
@@ -56,7 +65,14 @@
 # would reset it, and the caller might lose the answer.
 LINGER_S = 2.0
 # How long a connection that was closed waits for its caller to read the rest.
+# At listeners for operators and other systems, also how long an answer does.
 UNREAD_S = 10.0
+# When the caller should return that found all connections with requests.
+SURPLUS_RETRY_AFTER_S = 2
+# Taken as the limit if the system sets none.
+MAX_DESCRIPTORS = 1_000_000
+# Most connections of a listener for operators or other systems.
+MAX_INTERNAL_CONNECTIONS = 64
 
 
 @ty.final
@@ -170,13 +186,32 @@
 class _Shared:
     # What all connections of a server share.
 
-    def __init__(self) -> None:
+    def __init__(
+        self, callers: int, internal_ports: collections.abc.Set[int]
+    ) -> None:
+        self.internal_ports = internal_ports
+        self._callers = openconnections.OpenConnections[_BoundedProtocol](
+            callers
+        )
+        # Of the internal listeners, by the port.
+        self._internal = {
+            port: openconnections.OpenConnections[_BoundedProtocol](
+                MAX_INTERNAL_CONNECTIONS
+            )
+            for port in internal_ports
+        }
         self.limits = _Limits()
         # Turns to begin a request, and to read a body with little content.
         self.requests = _Turns(REQUESTS_PER_PASS)
         self.sparse_reads = _Turns(SPARSE_READS_PER_PASS)
-        # What was refused, by the reason.
-        self.refusals: collections.Counter[str] = collections.Counter()
+        self.on_refusal: collections.abc.Callable[[refusals.Refusal], None] = (
+            lambda _refusal: None
+        )
+
+    def find_open(
+        self, port: int | None
+    ) -> 'openconnections.OpenConnections[_BoundedProtocol]':
+        return self._internal.get(port or 0, self._callers)
 
 
 @ty.final
@@ -207,7 +242,10 @@
     _is_closing = False
     # The last request is answered; the rest of its body is dropped.
     _is_lingering = False
+    # All connections have requests: the one that comes here is refused.
+    _is_surplus = False
     _connection: Connection | None = None
+    _open: openconnections.OpenConnections['_BoundedProtocol']
 
     def __init__(self, shared: _Shared, **options: ty.Any) -> None:
         super().__init__(**options)
@@ -230,13 +268,25 @@
         super().connection_made(ty.cast(asyncio.Transport, transport))
         self.flow = _Flow(self)
         self._start_idle_timer()
+        self._open = self._shared.find_open(self._get_port())
+        verdict, replaced = self._open.add(self, self.loop.time())
+        if replaced is not None:
+            self._shared.on_refusal(refusals.Refusal.CONNECTION_REPLACED)
+            replaced.close()
+        if verdict is openconnections.Verdict.REFUSED:
+            self._is_surplus = True
+        elif verdict is openconnections.Verdict.DROPPED:
+            self._shared.on_refusal(refusals.Refusal.CONNECTION_DROPPED)
+            self.transport.abort()
+
+    def _get_port(self) -> int | None:
+        return None if self.server is None else self.server[1]
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._open.remove(self)
         self._forget_head()
         self._unset_keepalive_if_required()
-        if self._abort_timer is not None:
-            self._abort_timer.cancel()
-            self._abort_timer = None
+        self._stop_abort_timer()
         super().connection_lost(exc)
 
     def shutdown(self) -> None:
@@ -396,7 +446,7 @@
         )
 
     def timeout_keep_alive_handler(self) -> None:
-        self._close()
+        self.close()
 
     def _await_head(self) -> None:
         # A head has begun; it has to come in time.
@@ -407,7 +457,7 @@
             )
 
     def _end_late_head(self) -> None:
-        self._shared.refusals['head_time'] += 1
+        self._shared.on_refusal(refusals.Refusal.HEAD_TIME)
         self._answer_and_close(
             408, 'The request line and headers came too late.'
         )
@@ -419,7 +469,7 @@
         if self._shared.limits.claim_head(held - self._claimed):
             self._claimed = held
             return
-        self._shared.refusals['long_heads'] += 1
+        self._shared.on_refusal(refusals.Refusal.LONG_HEADS)
         self._answer_and_close(
             503,
             'Too many long heads arrive at a time; send fewer headers, or'
@@ -437,6 +487,10 @@
     def _begin_request(self, head: bytes) -> None:
         self._forget_head()
         self._unset_keepalive_if_required()
+        if self._is_surplus:
+            self._refuse_surplus()
+            return
+        self._open.begin_request(self)
         self._has_new_head = False
         self.parser = httptools.HttpRequestParser(self)
         try:
@@ -467,6 +521,14 @@
             # The body is read once the application asks for it.
             self.flow.pause_reading()
 
+    def _refuse_surplus(self) -> None:
+        self._shared.on_refusal(refusals.Refusal.CONNECTIONS)
+        self._answer_and_close(
+            503,
+            'All connections of this host have requests; return later.',
+            f'retry-after: {SURPLUS_RETRY_AFTER_S}\r\n',
+        )
+
     def on_message_begin(self) -> None:
         super().on_message_begin()
         if self._connection is None:
@@ -496,13 +558,17 @@
         self.cycle.more_body = False
         self.cycle.message_event.set()
         if self._is_lingering:
-            self._close()
+            self.close()
+        elif self.cycle.response_complete:
+            self._open.end_request(self, self.loop.time())
 
     def on_response_complete(self) -> None:
         if self.cycle.response_complete:
             # What has arrived of a body that nobody reads any more.
             self.cycle.body = bytearray()
         super().on_response_complete()
+        if not self._is_busy() and not self.transport.is_closing():
+            self._open.end_request(self, self.loop.time())
         if self._framer.held:
             self.loop.call_soon(self._continue)
 
@@ -513,17 +579,17 @@
         cycle = self.cycle
         is_answered = cycle.response_complete and not cycle.disconnected
         if not is_answered or not cycle.more_body:
-            self._close()
+            self.close()
             return
         self._is_lingering = True
-        self.loop.call_later(LINGER_S, self._close)
+        self.loop.call_later(LINGER_S, self.close)
 
     def _refuse(self, violation: framing.Violation) -> None:
-        self._shared.refusals[violation.kind.value] += 1
+        self._shared.on_refusal(violation.refusal)
         if self.cycle is not None and self.cycle.more_body:
             if self.cycle.response_started:
                 # An answer that is not complete must not look like that.
-                self._close()
+                self.close()
                 return
         self._answer_and_close(violation.status, violation.text)
 
@@ -538,21 +604,46 @@
             f'content-length: {len(text)}\r\n{header}connection: close\r\n\r\n'
         )
         self.transport.write((head + text).encode())
-        self._close()
+        self.close()
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        if self._get_port() in self._shared.internal_ports:
+            self._start_abort_timer()
 
-    def _close(self) -> None:
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        if not self.transport.is_closing():
+            self._stop_abort_timer()
+
+    def _start_abort_timer(self) -> None:
+        # A caller that does not read would keep the connection open.
+        if self._abort_timer is None:
+            self._abort_timer = self.loop.call_later(
+                UNREAD_S, self._abort_unread
+            )
+
+    def _abort_unread(self) -> None:
+        self._shared.on_refusal(refusals.Refusal.UNREAD)
+        self.transport.abort()
+
+    def _stop_abort_timer(self) -> None:
+        if self._abort_timer is not None:
+            self._abort_timer.cancel()
+            self._abort_timer = None
+
+    def close(self) -> None:
+        """Close the connection once what was written is sent."""
         if self.transport.is_closing():
             return
+        self._open.begin_request(self)
         if self._is_answering():
             # For the application, the caller has disconnected.
             self.cycle.disconnected = True
             self.cycle.message_event.set()
         self.transport.close()
         if self.transport.get_write_buffer_size():
-            # A caller that does not read would keep the connection open.
-            self._abort_timer = self.loop.call_later(
-                UNREAD_S, self.transport.abort
-            )
+            self._start_abort_timer()
 
 
 @ty.final
@@ -587,14 +678,34 @@
         self._protocol.resume_writing()
 
 
+def count_descriptors() -> int:
+    """Return how many descriptors the system lets this process open."""
+    count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if count == resource.RLIM_INFINITY else count
+
+
 @ty.final
 class Connections:
     """Makes the connections of a server, and what they share."""
 
-    def __init__(self) -> None:
-        """Start without connections."""
+    def __init__(
+        self,
+        descriptors: int | None = None,
+        internal_ports: collections.abc.Set[int] = frozenset(),
+    ) -> None:
+        """Start without connections.
+
+        ``descriptors`` are those that the process may open; by default as
+        many as the system lets it. ``internal_ports`` are those of listeners
+        for operators and other systems, which have few connections.
+        """
         self._buffer = memoryview(bytearray(READ_BYTES))
-        self._shared = _Shared()
+        count = count_descriptors()
+        if descriptors is not None:
+            count = min(count, descriptors)
+        self._shared = _Shared(
+            openconnections.count_for_callers(count), internal_ports
+        )
 
     def make_protocol(self, **options: ty.Any) -> asyncio.BufferedProtocol:
         """Return what reads a new connection."""
@@ -609,7 +720,8 @@
         self._shared.limits.head_timeout_s = head_timeout_s
         self._shared.limits.framing_bytes = framing_bytes
 
-    @property
-    def refusals(self) -> collections.abc.Mapping[str, int]:
-        """Return how often callers were refused, by the reason."""
-        return self._shared.refusals
+    def observe(
+        self, on_refusal: collections.abc.Callable[[refusals.Refusal], None]
+    ) -> None:
+        """Call a function with what is refused."""
+        self._shared.on_refusal = on_refusal
--- a/packages/apricotlanding/src/apricotlanding/framing.py
+++ b/packages/apricotlanding/src/apricotlanding/framing.py
@@ -10,6 +10,8 @@
 import re
 import typing as ty
 
+from apricotlanding import refusals
+
 __all__ = [
     'FRAMING_LIMIT_BYTES',
     'HEAD_LIMIT_BYTES',
@@ -17,7 +19,6 @@
     'TRAILER_LIMIT_BYTES',
     'Framer',
     'Violation',
-    'ViolationKind',
     'find_length',
     'make_malformed',
 ]
@@ -47,29 +48,16 @@
 HeaderList = list[tuple[bytes, bytes]]
 
 
-class ViolationKind(enum.Enum):
-    """What a caller sent that is refused."""
-
-    HEAD_SIZE = 'head_size'
-    HEAD_FIELDS = 'head_fields'
-    BLANK_LINES = 'blank_lines'
-    MALFORMED = 'malformed'
-    CODING = 'coding'
-    LINE_SIZE = 'line_size'
-    TRAILERS = 'trailers'
-    FRAMING = 'framing'
-
-
 @ty.final
 class Violation(Exception):
     """The bytes are no request, or exceed a limit."""
 
     def __init__(
-        self, kind: ViolationKind, text: str, status: int = 400
+        self, refusal: refusals.Refusal, text: str, status: int = 400
     ) -> None:
         """Keep what is answered: a status, and a text with the remedy."""
         super().__init__(text)
-        self.kind = kind
+        self.refusal = refusal
         self.text = text
         self.status = status
 
@@ -150,7 +138,7 @@
         ) - self._at
         if size > HEAD_LIMIT_BYTES:
             raise Violation(
-                ViolationKind.HEAD_SIZE,
+                refusals.Refusal.HEAD_SIZE,
                 'The request line and headers are longer than'
                 f' {HEAD_LIMIT_BYTES} bytes; send only the headers that the'
                 ' interface names.',
@@ -235,7 +223,7 @@
         self._trailers += len(line) + len(LINE_END)
         if self._trailers > TRAILER_LIMIT_BYTES:
             raise Violation(
-                ViolationKind.TRAILERS,
+                refusals.Refusal.TRAILERS,
                 f'The trailers are longer than {TRAILER_LIMIT_BYTES} bytes;'
                 ' send none.',
             )
@@ -249,7 +237,7 @@
         size = (end if end >= 0 else len(self._data)) - self._at
         if size > LINE_LIMIT_BYTES:
             raise Violation(
-                ViolationKind.LINE_SIZE,
+                refusals.Refusal.LINE_SIZE,
                 'The line before a chunk, or a trailer, is longer than'
                 f' {LINE_LIMIT_BYTES} bytes; send no extensions.',
             )
@@ -266,7 +254,7 @@
         self._framing += size
         if self._framing > self._limit:
             raise Violation(
-                ViolationKind.FRAMING,
+                refusals.Refusal.FRAMING,
                 f'More than {self._limit} bytes of the body are no content;'
                 ' send larger chunks.',
                 status=413,
@@ -279,7 +267,7 @@
             self._blank += len(LINE_END)
             if self._blank > BLANK_LIMIT_BYTES:
                 raise Violation(
-                    ViolationKind.BLANK_LINES,
+                    refusals.Refusal.BLANK_LINES,
                     'Too many blank lines come before the request line.',
                 )
 
@@ -312,7 +300,7 @@
             raise make_malformed('a body has a length and a transfer coding')
         if len(codings) > 1 or codings[0].lower() != b'chunked':
             raise Violation(
-                ViolationKind.CODING,
+                refusals.Refusal.CODING,
                 'Of the transfer codings only "chunked" is known; send the'
                 ' body without others.',
                 status=501,
@@ -331,7 +319,7 @@
         raise make_malformed('a line does not end with CR and LF')
     if ends - 2 > MAX_FIELDS:
         raise Violation(
-            ViolationKind.HEAD_FIELDS,
+            refusals.Refusal.HEAD_FIELDS,
             f'The head has more than {MAX_FIELDS} headers; send only those'
             ' that the interface names.',
             status=431,
@@ -341,5 +329,5 @@
 def make_malformed(reason: str) -> Violation:
     """Return the refusal of bytes that are no request."""
     return Violation(
-        ViolationKind.MALFORMED, f'Invalid HTTP request received: {reason}.'
+        refusals.Refusal.MALFORMED, f'Invalid HTTP request received: {reason}.'
     )
--- a/packages/apricotlandingd/src/apricotlandingd/daemon.py
+++ b/packages/apricotlandingd/src/apricotlandingd/daemon.py
@@ -103,7 +103,15 @@
         self._build_requests()
         self._connect_components()
         self._callers = asgi.Server(self.entry, config.callers)
-        self._operators = asgi.Server(self.operators, config.operators_listen)
+        self._operators = asgi.Server(
+            self.operators, internal=(config.operators_listen,)
+        )
+        for server in (self._callers, self._operators):
+            server.observe(
+                lambda refusal: self.metrics.count(
+                    f'connection_refused.{refusal.value}'
+                )
+            )
 
     def _build_shared_state(self) -> None:
         config = self.settings
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -388,8 +388,13 @@
         self._server = asgi.Server(
             self._listener,
             config.callers,
-            config.readiness,
-            config.metrics,
+            internal=(config.readiness, config.metrics),
+            descriptors=config.descriptors,
+        )
+        self._server.observe(
+            lambda refusal: self._telemetry.count(
+                'connection_refusals_total', reason=refusal.value
+            )
         )
         self._telemetry.gauges = gauges.make_gauges(
             self._listener,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/settings.py
@@ -73,6 +73,8 @@
     has_contention: bool = False
     # Memory of this host in bytes; None if not stated.
     memory_bytes: int | None = None
+    # Descriptors that the process may open; None if not stated.
+    descriptors: int | None = None
     # The process holds nothing but this host. No part of the settings file.
     has_own_process: bool = dataclasses.field(default=False, compare=False)
     # Figures that are treated as not stated, and why.
