Count what many headers take, and drop them with the answer

What a crowd could do: 200 connections, each with a head of 4,000 short headers and a body that goes on, took 109 MB of 100, and 145 MB after a longer watch (a sample showed 200 such requests open at once, 159 of them refused).

Cause, from a trial that read the host's metrics meanwhile: a request counts 96 KB, but 4,000 headers of 24 KB take 1 MB and more as objects; up to 64 of them began in one pass of the event loop, before any was counted; and a connection kept the headers of its last request while it was idle.

Change: headers count 400 bytes each and three times their size, beyond 16 KB; a request with more than 64 headers waits for a turn of its own, one in a pass, as bytes; the connection forgets a request with its answer.

--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -37,6 +37,10 @@
 # Most requests that begin in one pass of the event loop. What they take is not
 # counted until they are admitted or refused, a few passes later.
 REQUESTS_PER_PASS = 64
+# A request with more headers takes several times as much, and so many of them
+# begin in one pass.
+MANY_HEADERS = 64
+LONG_REQUESTS_PER_PASS = 1
 # Time for a head to arrive, unless the server sets another.
 HEAD_TIMEOUT_S = 10.0
 # When the caller of a long head that finds no room should return.
@@ -201,8 +205,10 @@
             for port in internal_ports
         }
         self.limits = _Limits()
-        # Turns to begin a request, and to read a body with little content.
+        # Turns to begin a request, one with many headers, and to read a body
+        # with little content.
         self.requests = _Turns(REQUESTS_PER_PASS)
+        self.long_requests = _Turns(LONG_REQUESTS_PER_PASS)
         self.sparse_reads = _Turns(SPARSE_READS_PER_PASS)
         self.on_refusal: collections.abc.Callable[[refusals.Refusal], None] = (
             lambda _refusal: None
@@ -259,6 +265,8 @@
         self._has_turn = False
         # What is held is the beginning of a head.
         self._needs_more = False
+        # A complete head that waits for its turn.
+        self._long_head: bytes | None = None
         # Bytes of the head that are claimed.
         self._claimed = 0
         self._head_timer: asyncio.TimerHandle | None = None
@@ -381,6 +389,9 @@
                 self._await_head()
                 self._claim_long_head()
             return False
+        if framing.count_headers(head) > MANY_HEADERS:
+            self._await_long_request(head)
+            return False
         self._begin_request(head)
         return True
 
@@ -388,11 +399,15 @@
         return self.cycle is not None and not self.cycle.response_complete
 
     def _is_busy(self) -> bool:
-        # A request has not arrived wholly, or is not answered.
-        return self._is_answering() or not self._framer.is_at_head()
+        # A request has not begun, has not arrived wholly, or is not answered.
+        if self._long_head is not None or self._is_answering():
+            return True
+        return not self._framer.is_at_head()
 
     def _is_reading_head(self) -> bool:
-        return self._head_timer is not None or self._framer.held > 0
+        if self._head_timer is not None or self._long_head is not None:
+            return True
+        return self._framer.held > 0
 
     # Turns.
 
@@ -417,6 +432,23 @@
         self.flow.resume_reading()
         self._advance()
 
+    def _await_long_request(self, head: bytes) -> None:
+        self._long_head = head
+        self._is_waiting = True
+        self._shared.long_requests.wait(self._begin_long_request, self.loop)
+
+    def _begin_long_request(self) -> None:
+        head, self._long_head = self._long_head, None
+        self._is_waiting = False
+        if head is None or self.transport.is_closing():
+            return
+        try:
+            self._begin_request(head)
+        except framing.Violation as violation:
+            self._refuse(violation)
+            return
+        self._advance()
+
     def _await_sparse_read(self) -> None:
         turns = self._shared.sparse_reads
         if self._is_waiting:
@@ -564,14 +596,21 @@
 
     def on_response_complete(self) -> None:
         if self.cycle.response_complete:
-            # What has arrived of a body that nobody reads any more.
-            self.cycle.body = bytearray()
+            self._forget_request()
         super().on_response_complete()
         if not self._is_busy() and not self.transport.is_closing():
             self._open.end_request(self, self.loop.time())
         if self._framer.held:
             self.loop.call_soon(self._continue)
 
+    def _forget_request(self) -> None:
+        # The connection may be idle for long: it keeps neither the headers
+        # nor what has arrived of a body that nobody reads any more.
+        self.cycle.body = bytearray()
+        self.cycle.scope = {}  # type: ignore[typeddict-item]
+        self.headers = []
+        self.scope = {}  # type: ignore[typeddict-item]
+
     # Closing.
 
     def close_after_body(self) -> None:
--- a/packages/apricotlanding/src/apricotlanding/framing.py
+++ b/packages/apricotlanding/src/apricotlanding/framing.py
@@ -19,6 +19,7 @@
     'TRAILER_LIMIT_BYTES',
     'Framer',
     'Violation',
+    'count_headers',
     'find_length',
     'make_malformed',
 ]
@@ -313,11 +314,17 @@
     return int(lengths[0])
 
 
+def count_headers(head: bytes) -> int:
+    """Return how many headers a complete head has."""
+    # The others end the request line and the head.
+    return head.count(b'\n') - 2
+
+
 def _check_lines(head: bytes) -> None:
     ends = head.count(LINE_END)
     if head.count(b'\n') != ends or head.count(b'\r') != ends:
         raise make_malformed('a line does not end with CR and LF')
-    if ends - 2 > MAX_FIELDS:
+    if count_headers(head) > MAX_FIELDS:
         raise Violation(
             refusals.Refusal.HEAD_FIELDS,
             f'The head has more than {MAX_FIELDS} headers; send only those'
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldanswers.py
@@ -28,6 +28,7 @@
     'Kind',
     'Memory',
     'weigh_body',
+    'weigh_head',
 ]
 
 # Where a request's ASGI scope has its ``HeldAnswer``.
@@ -45,6 +46,11 @@
 # that part and its copies, its tasks and connections, and buffers of the HTTP
 # parsers.
 OPEN_BYTES = 88_000 + FREE_ANSWER_BYTES
+# What of a head is part of them. Beyond it, each header takes so many bytes
+# besides its own, which are held once as they arrived and twice as text.
+FREE_HEAD_BYTES = 16 * 1024
+HEADER_BYTES = 400
+HEAD_COPIES = 3
 # Least bound, about eight requests: a host whose stated memory leaves less
 # would refuse all of them.
 MIN_LIMIT_BYTES = 8 * OPEN_BYTES
@@ -156,6 +162,13 @@
         self._owner = None
 
 
+def weigh_head(headers: collections.abc.Sequence[tuple[bytes, bytes]]) -> int:
+    """Return what a request's headers count beyond ``OPEN_BYTES``."""
+    size = sum(len(name) + len(value) for name, value in headers)
+    held = HEAD_COPIES * size + HEADER_BYTES * len(headers)
+    return max(0, held - FREE_HEAD_BYTES)
+
+
 def weigh_body(size: int) -> int:
     """Return the bytes that are counted for a body of a size.
 
