Accept few connections of peers until they are known

Class: what any program can send to the listeners for other hosts (records, relayed calls, and the peers of the daemon's own scheduler). Each connection was accepted at once, with a task, a descriptor and what it had sent (up to 256 KB a read), and each query for records got a reply with all of them at the same time. Nothing bounded their number but 512 of the relay listener, which is a third of the descriptors of the smallest hosts.

Change: a listener accepts 64 connections whose peer is not known; others wait in its queue, where the process holds nothing for them (`acceptance`). A connection that cannot be accepted for want of descriptors no longer ends the listener. Eight replies with records are sent at a time. Calls of other hosts come on an eighth of the descriptors beyond 200, 512 connections at most.

--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -717,10 +717,16 @@
         self._protocol.resume_writing()
 
 
-def count_descriptors() -> int:
-    """Return how many descriptors the system lets this process open."""
+def count_descriptors(stated: int | None) -> int:
+    """Return how many descriptors this process may open.
+
+    That is the limit of the system, or the one that settings state, if it is
+    less.
+    """
     count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return MAX_DESCRIPTORS if count == resource.RLIM_INFINITY else count
+    if count == resource.RLIM_INFINITY:
+        count = MAX_DESCRIPTORS
+    return count if stated is None else min(count, stated)
 
 
 @ty.final
@@ -739,11 +745,9 @@
         for operators and other systems, which have few connections.
         """
         self._buffer = memoryview(bytearray(READ_BYTES))
-        count = count_descriptors()
-        if descriptors is not None:
-            count = min(count, descriptors)
         self._shared = _Shared(
-            openconnections.count_for_callers(count), internal_ports
+            openconnections.count_for_callers(count_descriptors(descriptors)),
+            internal_ports,
         )
 
     def make_protocol(self, **options: ty.Any) -> asyncio.BufferedProtocol:
--- a/packages/apricotlanding/src/apricotlanding/openconnections.py
+++ b/packages/apricotlanding/src/apricotlanding/openconnections.py
@@ -9,12 +9,21 @@
 import enum
 import typing as ty
 
-__all__ = ['OpenConnections', 'Verdict', 'count_for_callers']
+__all__ = [
+    'MAX_HOST_CONNECTIONS',
+    'OpenConnections',
+    'Verdict',
+    'count_for_callers',
+    'count_for_hosts',
+]
 
 # Descriptors that are left for files, listeners and the store.
 RESERVED_DESCRIPTORS = 200
 # Share of the others that callers may take; the rest is for runners and hosts.
 CALLERS_SHARE = 0.75
+# Part of that rest for the calls of other hosts.
+HOSTS_SHARE = 0.125
+MAX_HOST_CONNECTIONS = 512
 MIN_CONNECTIONS = 16
 # A connection that is younger may be one whose first request is on its way.
 FRESH_S = 1.0
@@ -34,8 +43,17 @@
 
 def count_for_callers(descriptors: int) -> int:
     """Return the most connections of callers, by the descriptors there are."""
+    return _count_share(descriptors, CALLERS_SHARE)
+
+
+def count_for_hosts(descriptors: int) -> int:
+    """Return the most connections on which other hosts send calls."""
+    return min(MAX_HOST_CONNECTIONS, _count_share(descriptors, HOSTS_SHARE))
+
+
+def _count_share(descriptors: int, share: float) -> int:
     left = max(0, descriptors - RESERVED_DESCRIPTORS)
-    return max(MIN_CONNECTIONS, int(left * CALLERS_SHARE))
+    return max(MIN_CONNECTIONS, int(left * share))
 
 
 @ty.final
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -36,6 +36,7 @@
 import anyio.abc
 import eliot
 
+from apricotlanding import acceptance
 from apricotlanding import addresses
 from apricotlanding import asgi
 from apricotlanding import clocks
@@ -424,7 +425,12 @@
             ):
                 tree.start(topic, reader.run)
             tree.start('mesh', self._mesh.run)
-            tree.start('records', lambda: peers.serve(self._exchange.serve))
+            tree.start(
+                'records',
+                lambda: acceptance.PeerListener(peers).serve(
+                    lambda stream, _on_known: self._exchange.serve(stream)
+                ),
+            )
             tree.start('catch-up', self._catch_up.run)
             tree.start(
                 'join',
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
@@ -1,17 +1,18 @@
 """Builds what a gateway needs to reach runners, by itself or by others."""
 
-import functools
 import random
 import typing as ty
 
 import anyio
 import anyio.abc
 
+from apricotlanding import acceptance
 from apricotlanding import asgi
 from apricotlanding import clocks
+from apricotlanding import connections
 from apricotlanding import dialing
 from apricotlanding import ids
-from apricotlanding import supervisor
+from apricotlanding import openconnections
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.hosts import mesh
 from apricotlandingd.gateway.process import processmemory
@@ -57,6 +58,9 @@
         if config.has_own_process:
             self.held_answers.memory = processmemory.ProcessMemory()
         self.keys = relaykeys.RelayKeys()
+        self._most_connections = openconnections.count_for_hosts(
+            connections.count_descriptors(config.descriptors)
+        )
         self.links = ownlinks.OwnLinks(self._handle_change)
         self.clients = runnerclients.RunnerClients(dial, self._note_dialed)
         self._identity = relayhandshake.Identity(
@@ -83,6 +87,7 @@
             self._identity,
             tools,
             self.held_answers if self.held_answers.is_counting else None,
+            self._most_connections,
         )
 
     async def serve(self) -> None:
@@ -90,9 +95,7 @@
         self._socket.setblocking(False)
         listener = await anyio.abc.SocketListener.from_socket(self._socket)
         async with listener:
-            await listener.serve(
-                functools.partial(supervisor.run_guarded, self.server.serve)
-            )
+            await acceptance.PeerListener(listener).serve(self.server.serve)
 
     def retain_only(self, entries: list[dialect.RunnerEntry]) -> None:
         """Forget the links to all other runners."""
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/relays/relayserver.py
@@ -20,6 +20,7 @@
 from apricotlanding import errors
 from apricotlanding import frames
 from apricotlanding import ids
+from apricotlanding import openconnections
 from apricotlanding import sockets
 from apricotlanding import taskgroups
 from apricotlanding import webclient
@@ -40,8 +41,6 @@
 
 # Calls that are carried for others at once.
 MAX_CALLS = 128
-# Connections of other hosts; each carries one call at a time.
-MAX_CONNECTIONS = 512
 # Time for which a connection to a runner is held for a call, and for which an
 # idle connection of another host is kept, seconds.
 RESERVATION_TIMEOUT_S = 1.0
@@ -92,28 +91,38 @@
         identity: relayhandshake.Identity,
         tools: Tools,
         held_answers: heldanswers.HeldAnswers | None = None,
+        most_connections: int = openconnections.MAX_HOST_CONNECTIONS,
     ) -> None:
-        """Start without calls; nothing is counted without ``held_answers``."""
+        """Start without calls; nothing is counted without ``held_answers``.
+
+        Each connection of another host carries one call at a time.
+        """
         self._identity = identity
         self._tools = tools
         self._held_answers = held_answers
+        self._most_connections = most_connections
         self._connections = 0
         # Calls that are carried now, and all since the start.
         self.active = 0
         self.calls = 0
 
-    async def serve(self, stream: anyio.abc.SocketStream) -> None:
-        """Serve one connection of another host."""
+    async def serve(
+        self,
+        stream: anyio.abc.SocketStream,
+        on_known: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Serve one connection; ``on_known`` is called once it is a host's."""
         remote = str(stream.extra(anyio.abc.SocketAttribute.remote_address)[0])
         link = frames.FrameStream(stream)
         self._connections += 1
         try:
-            if self._connections > MAX_CONNECTIONS:
+            if self._connections > self._most_connections:
                 return
             sockets.enable_keepalive(
                 stream.extra(anyio.abc.SocketAttribute.raw_socket)
             )
             greeting = await relayhandshake.accept_host(link, self._identity)
+            on_known()
             connection = _Connection(
                 self,
                 self._tools,
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
@@ -31,6 +31,8 @@
 # Timeout of a query and its reply. A configuration of several hundred routes
 # is about 100 KB.
 EXCHANGE_TIMEOUT_S = 1.5
+# Replies that are sent at a time; each holds all records that a peer lacks.
+MAX_REPLIES = 8
 # Largest reply that is accepted.
 FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 
@@ -42,6 +44,7 @@
     def __init__(self, replica: records.Replica) -> None:
         """Serve records from a replica and apply fetched ones to it."""
         self._replica = replica
+        self._replies = anyio.Semaphore(MAX_REPLIES)
         # Called with the peer's address, the reason and the time for each
         # invalid query or reply. Set by the gateway.
         self.on_unreadable: collections.abc.Callable[
@@ -56,8 +59,9 @@
                 query = _check_query(
                     messages.registry.unpack(await link.receive())
                 )
-                page = self._make_page(query)
-                await link.send(messages.registry.pack(page))
+                async with self._replies:
+                    page = self._make_page(query)
+                    await link.send(messages.registry.pack(page))
         except errors.Refused as error:
             host = stream.extra(anyio.abc.SocketAttribute.remote_address)[0]
             self.on_unreadable(str(host), str(error), clocks.read_monotonic())
--- a/packages/apricotlandingd/src/apricotlandingd/peering/peers.py
+++ b/packages/apricotlandingd/src/apricotlandingd/peering/peers.py
@@ -23,6 +23,7 @@
 import eliot
 import xxhash
 
+from apricotlanding import acceptance
 from apricotlanding import clocks
 from apricotlanding import errors
 from apricotlanding import frames
@@ -176,7 +177,10 @@
     async def run(self, listener: anyio.abc.Listener[ty.Any]) -> None:
         """Accept connections, poll the host list and dial, until cancelled."""
         async with supervisor.Supervisor('peers') as tree:
-            tree.start('listener', lambda: listener.serve(self._accept))
+            accepted = acceptance.PeerListener(
+                ty.cast(acceptance.Listener, listener)
+            )
+            tree.start('listener', lambda: accepted.serve(self._accept))
             await self._follow_hosts(tree)
 
     async def _follow_hosts(self, tree: supervisor.Supervisor) -> None:
@@ -271,13 +275,18 @@
                 self.on_pong(pong, connection)
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
 
-    async def _accept(self, raw: anyio.abc.ByteStream) -> None:
+    async def _accept(
+        self,
+        raw: anyio.abc.ByteStream,
+        on_known: collections.abc.Callable[[], None],
+    ) -> None:
         async with raw:
             stream = frames.FrameStream(raw)
             try:
                 greeting = await handshake.greet_dialer(
                     stream, self._make_greeting(), self._key
                 )
+                on_known()
                 connection = peerlink.Connection(stream, greeting, self.router)
                 self._accepted[connection.incarnation] = connection
                 try:
