Read a connection on after its turn; split off turns and shared limits

What a caller could see: a request sent ahead, of which more than 4 KB but not all had arrived, was never read further, and ended with 408, if all requests of that pass of the event loop had begun: the turn came, the head was found incomplete, and nothing resumed reading. The fault came with the framer, and was found by a property test that gives one turn a pass to up to nine connections; it fails without the change (two connections suffice).

Change: whatever takes from what is held decides at its end whether the connection is read. `turns` and `connectionlimits` are modules of their own; a move alone.

--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -8,10 +8,8 @@
 """
 
 import asyncio
-import collections
 import collections.abc
 import contextlib
-import resource
 import select
 import typing as ty
 
@@ -19,6 +17,7 @@
 from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
+from apricotlanding import connectionlimits
 from apricotlanding import framing
 from apricotlanding import openconnections
 from apricotlanding import refusals
@@ -28,21 +27,11 @@
     'MAX_UNREAD_BYTES',
     'Connection',
     'Connections',
-    'count_descriptors',
 ]
 
-# Most bytes of incomplete heads of all connections together, where a head is
-# longer than the parser gets at once.
-LONG_HEADS_BYTES = 4 * 1024 * 1024
-# Most requests that begin in one pass of the event loop. What they take is not
-# counted until they are admitted or refused, a few passes later.
-REQUESTS_PER_PASS = 64
-# A request with more headers takes several times as much, and so many of them
-# begin in one pass.
+# A request with more headers takes several times as much as others, and waits
+# for a turn of its own.
 MANY_HEADERS = 64
-LONG_REQUESTS_PER_PASS = 1
-# Time for a head to arrive, unless the server sets another.
-HEAD_TIMEOUT_S = 10.0
 # When the caller of a long head that finds no room should return.
 LONG_HEAD_RETRY_AFTER_S = 2
 # Where a scope's extensions have the ``Connection``.
@@ -53,11 +42,8 @@
 # Most bytes of other requests that it holds before it is read again. Less than
 # above, so that not each answer leads to a read.
 AHEAD_BYTES = PARSE_BYTES // 2
-# Most bytes that are read at once of a body that has little content, and how
-# many connections are read like that in one pass of the event loop. Bytes
-# without content take far more processor time than others.
+# Most bytes that are read at once of a body that has little content.
 SPARSE_READ_BYTES = 1024
-SPARSE_READS_PER_PASS = 8
 # Most bytes that are read at once of a body that the application receives.
 # Nothing else is read in parts as large: all connections may be read before
 # the application learns of a request.
@@ -73,10 +59,6 @@
 UNREAD_S = 10.0
 # When the caller should return that found all connections with requests.
 SURPLUS_RETRY_AFTER_S = 2
-# Taken as the limit if the system sets none.
-MAX_DESCRIPTORS = 1_000_000
-# Most connections of a listener for operators or other systems.
-MAX_INTERNAL_CONNECTIONS = 64
 
 
 @ty.final
@@ -123,103 +105,6 @@
         self._protocol.close_after_body()
 
 
-@ty.final
-class _Limits:
-    # What holds for all connections.
-
-    def __init__(self) -> None:
-        self.head_timeout_s = HEAD_TIMEOUT_S
-        self.framing_bytes = framing.FRAMING_LIMIT_BYTES
-        # Bytes of the long heads that are incomplete.
-        self._head_bytes = 0
-
-    def claim_head(self, size: int) -> bool:
-        if self._head_bytes + size > LONG_HEADS_BYTES:
-            return False
-        self._head_bytes += size
-        return True
-
-    def release_head(self, size: int) -> None:
-        self._head_bytes -= size
-
-
-@ty.final
-class _Turns:
-    # Lets so many connections go on in each pass of the event loop. Those
-    # beyond that wait in order of arrival, and are not read meanwhile.
-
-    def __init__(self, per_pass: int) -> None:
-        self._per_pass = per_pass
-        self._used = 0
-        self._waiting: collections.deque[
-            collections.abc.Callable[[], None]
-        ] = collections.deque()
-        self._is_scheduled = False
-
-    def are_used(self) -> bool:
-        return bool(self._waiting) or self._used >= self._per_pass
-
-    def use(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._used += 1
-        self._schedule(loop)
-
-    def wait(
-        self,
-        go_on: collections.abc.Callable[[], None],
-        loop: asyncio.AbstractEventLoop,
-    ) -> None:
-        self._waiting.append(go_on)
-        self._schedule(loop)
-
-    def _schedule(self, loop: asyncio.AbstractEventLoop) -> None:
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            loop.call_soon(self._begin_pass, loop)
-
-    def _begin_pass(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._is_scheduled = False
-        self._used = 0
-        while self._waiting and self._used < self._per_pass:
-            self._used += 1
-            self._waiting.popleft()()
-        if self._waiting:
-            self._schedule(loop)
-
-
-@ty.final
-class _Shared:
-    # What all connections of a server share.
-
-    def __init__(
-        self, callers: int, internal_ports: collections.abc.Set[int]
-    ) -> None:
-        self.internal_ports = internal_ports
-        self._callers = openconnections.OpenConnections[_BoundedProtocol](
-            callers
-        )
-        # Of the internal listeners, by the port.
-        self._internal = {
-            port: openconnections.OpenConnections[_BoundedProtocol](
-                MAX_INTERNAL_CONNECTIONS
-            )
-            for port in internal_ports
-        }
-        self.limits = _Limits()
-        # Turns to begin a request, one with many headers, and to read a body
-        # with little content.
-        self.requests = _Turns(REQUESTS_PER_PASS)
-        self.long_requests = _Turns(LONG_REQUESTS_PER_PASS)
-        self.sparse_reads = _Turns(SPARSE_READS_PER_PASS)
-        self.on_refusal: collections.abc.Callable[[refusals.Refusal], None] = (
-            lambda _refusal: None
-        )
-
-    def find_open(
-        self, port: int | None
-    ) -> 'openconnections.OpenConnections[_BoundedProtocol]':
-        return self._internal.get(port or 0, self._callers)
-
-
 @ty.final
 class _Flow(flow_control.FlowControl):
     # Does not read a connection that holds all that it may.
@@ -253,7 +138,7 @@
     _connection: Connection | None = None
     _open: openconnections.OpenConnections['_BoundedProtocol']
 
-    def __init__(self, shared: _Shared, **options: ty.Any) -> None:
+    def __init__(self, shared: '_Shared', **options: ty.Any) -> None:
         super().__init__(**options)
         # Made for each head.
         self.parser = None  # type: ignore[assignment]
@@ -346,8 +231,6 @@
         return self._framer.held >= AHEAD_BYTES
 
     def data_received(self, data: bytes) -> None:
-        if self.transport.is_closing():
-            return
         self._framer.receive(data)
         self._advance()
 
@@ -359,11 +242,14 @@
                     break
         except framing.Violation as violation:
             self._refuse(violation)
+        if self.transport.is_closing():
             return
         if self._framer.is_mostly_framing():
             self._await_sparse_read()
         if self.is_full():
             self.flow.pause_reading()
+        elif not self._is_busy():
+            self.flow.resume_reading()
 
     def _take_next(self) -> bool:
         # Takes a head, or a part of a body, from what has arrived; False if
@@ -427,9 +313,6 @@
         # Takes what has arrived before.
         self._is_waiting = False
         self._has_turn = True
-        if self.transport.is_closing():
-            return
-        self.flow.resume_reading()
         self._advance()
 
     def _await_long_request(self, head: bytes) -> None:
@@ -464,12 +347,6 @@
         if not self.transport.is_closing():
             self.flow.resume_reading()
 
-    def _continue(self) -> None:
-        # Takes what has arrived behind a request that was answered.
-        self._advance()
-        if not self._is_busy():
-            self.flow.resume_reading()
-
     # Heads.
 
     def _start_idle_timer(self) -> None:
@@ -485,7 +362,7 @@
         self._unset_keepalive_if_required()
         if self._head_timer is None:
             self._head_timer = self.loop.call_later(
-                self._shared.limits.head_timeout_s, self._end_late_head
+                self._shared.head_timeout_s, self._end_late_head
             )
 
     def _end_late_head(self) -> None:
@@ -498,7 +375,7 @@
         held = self._framer.held
         if held < PARSE_BYTES:
             return
-        if self._shared.limits.claim_head(held - self._claimed):
+        if self._shared.claim_head(held - self._claimed):
             self._claimed = held
             return
         self._shared.on_refusal(refusals.Refusal.LONG_HEADS)
@@ -510,7 +387,7 @@
         )
 
     def _forget_head(self) -> None:
-        self._shared.limits.release_head(self._claimed)
+        self._shared.release_head(self._claimed)
         self._claimed = 0
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -541,7 +418,7 @@
         if not self._has_turn:
             self._shared.requests.use(self.loop)
         self._has_turn = False
-        self._framer.begin_body(length, self._shared.limits.framing_bytes)
+        self._framer.begin_body(length, self._shared.framing_bytes)
         self.cycle.transport = _LingeringTransport(self)
         if self._is_closing or not self._is_persistent:
             self.cycle.keep_alive = False
@@ -601,7 +478,8 @@
         if not self._is_busy() and not self.transport.is_closing():
             self._open.end_request(self, self.loop.time())
         if self._framer.held:
-            self.loop.call_soon(self._continue)
+            # Others that were sent ahead.
+            self.loop.call_soon(self._advance)
 
     def _forget_request(self) -> None:
         # The connection may be idle for long: it keeps neither the headers
@@ -647,7 +525,7 @@
 
     def pause_writing(self) -> None:
         super().pause_writing()
-        if self._get_port() in self._shared.internal_ports:
+        if self._shared.is_internal(self._get_port()):
             self._start_abort_timer()
 
     def resume_writing(self) -> None:
@@ -685,6 +563,9 @@
             self._start_abort_timer()
 
 
+_Shared = connectionlimits.SharedLimits[_BoundedProtocol]
+
+
 @ty.final
 class _BoundedReader(asyncio.BufferedProtocol):
     # Reads a connection in parts as large as its protocol chooses; the event
@@ -717,18 +598,6 @@
         self._protocol.resume_writing()
 
 
-def count_descriptors(stated: int | None) -> int:
-    """Return how many descriptors this process may open.
-
-    That is the limit of the system, or the one that settings state, if it is
-    less.
-    """
-    count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if count == resource.RLIM_INFINITY:
-        count = MAX_DESCRIPTORS
-    return count if stated is None else min(count, stated)
-
-
 @ty.final
 class Connections:
     """Makes the connections of a server, and what they share."""
@@ -745,10 +614,7 @@
         for operators and other systems, which have few connections.
         """
         self._buffer = memoryview(bytearray(READ_BYTES))
-        self._shared = _Shared(
-            openconnections.count_for_callers(count_descriptors(descriptors)),
-            internal_ports,
-        )
+        self._shared = _Shared(descriptors, internal_ports)
 
     def make_protocol(self, **options: ty.Any) -> asyncio.BufferedProtocol:
         """Return what reads a new connection."""
@@ -760,8 +626,8 @@
 
         ``framing_bytes`` are those of a chunked body that are no content.
         """
-        self._shared.limits.head_timeout_s = head_timeout_s
-        self._shared.limits.framing_bytes = framing_bytes
+        self._shared.head_timeout_s = head_timeout_s
+        self._shared.framing_bytes = framing_bytes
 
     def observe(
         self, on_refusal: collections.abc.Callable[[refusals.Refusal], None]
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
@@ -9,7 +9,7 @@
 from apricotlanding import acceptance
 from apricotlanding import asgi
 from apricotlanding import clocks
-from apricotlanding import connections
+from apricotlanding import connectionlimits
 from apricotlanding import dialing
 from apricotlanding import ids
 from apricotlanding import openconnections
@@ -59,7 +59,7 @@
             self.held_answers.memory = processmemory.ProcessMemory()
         self.keys = relaykeys.RelayKeys()
         self._most_connections = openconnections.count_for_hosts(
-            connections.count_descriptors(config.descriptors)
+            connectionlimits.count_descriptors(config.descriptors)
         )
         self.links = ownlinks.OwnLinks(self._handle_change)
         self.clients = runnerclients.RunnerClients(dial, self._note_dialed)
--- a/tests/callerconnection.py
+++ b/tests/callerconnection.py
@@ -130,6 +130,12 @@
         await self._settle()
         return left
 
+    def offer(self, data: bytes) -> int:
+        """Let the server read once; return how many bytes it took."""
+        if not data or self.transport.is_paused or not self.is_open():
+            return 0
+        return self._read(data)
+
     async def _settle(self) -> None:
         for _ in range(PASSES):
             await asyncio.sleep(0)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import tracemalloc
+import unittest.mock
 
 import hypothesis
 from hypothesis import strategies
 import testtools
 
+from apricotlanding import connectionlimits
 from apricotlanding import connections
 from apricotlanding import framing
 import callerconnection
@@ -19,6 +21,8 @@
 MAX_FRAMING_BYTES = 100_000
 # What each flood sends.
 FLOOD_BYTES = 2_000_000
+# Passes of the event loop in which all that is sent is answered.
+MAX_PASSES = 20_000
 HOST = b'Host: api.example\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 GONE = b'POST /gone/ HTTP/1.1\r\n' + HOST
@@ -133,7 +137,11 @@
         strategies.sampled_from([1, 10, 500])
     )
     blank = draw(strategies.sampled_from([b'', b'\r\n']))
-    headers = draw(strategies.sampled_from([b'', b'a: b\r\n' * 20]))
+    headers = draw(
+        strategies.sampled_from(
+            [b'', b'a: b\r\n' * 100, b'a: ' + b'b' * 9000 + b'\r\n']
+        )
+    )
     if draw(strategies.booleans()):
         size = draw(strategies.integers(1, 300))
         coded = b'Transfer-Encoding: chunked\r\n\r\n' + frame_chunks(
@@ -144,6 +152,14 @@
     return blank + ECHO + headers + coded, body
 
 
+def answer_all(requests: list[tuple[bytes, bytes]]) -> bytes:
+    """Return what the caller of these requests gets."""
+    return b''.join(
+        b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (len(body), body)
+        for _, body in requests
+    )
+
+
 GARBAGE = strategies.one_of(
     strategies.binary(max_size=200),
     strategies.sampled_from(
@@ -183,11 +199,7 @@
     ) -> None:
         """Guards against requests that suffer from what surrounds them."""
         data = b''.join(request for request, _ in requests) + garbage
-        answers = b''.join(
-            b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b'
-            % (len(body), body)
-            for _, body in requests
-        )
+        answers = answer_all(requests)
 
         async def scenario() -> None:
             caller = callerconnection.CallerConnection(
@@ -206,6 +218,40 @@
 
         asyncio.run(scenario())
 
+    @fuzzing.configure_examples()
+    @hypothesis.given(
+        strategies.lists(draw_request(), min_size=1, max_size=8),
+        strategies.integers(1, 9),
+    )
+    def test_requests_that_wait_for_their_turn_are_served(
+        self, requests: list[tuple[bytes, bytes]], connections_count: int
+    ) -> None:
+        """Guards against connections that are not read after their turn."""
+        data = b''.join(request for request, _ in requests)
+        answers = answer_all(requests)
+
+        async def scenario() -> None:
+            shared = connections.Connections()
+            callers = [
+                callerconnection.CallerConnection(shared)
+                for _ in range(connections_count)
+            ]
+            left = dict.fromkeys(callers, data)
+            for _ in range(MAX_PASSES):
+                for caller in callers:
+                    left[caller] = left[caller][caller.offer(left[caller]) :]
+                await asyncio.sleep(0)
+                if all(item.received == answers for item in callers):
+                    break
+            for caller in callers:
+                self.assertEqual(answers, caller.received)
+                await caller.close()
+
+        with unittest.mock.patch.object(
+            connectionlimits, 'REQUESTS_PER_PASS', 1
+        ):
+            asyncio.run(scenario())
+
     @fuzzing.configure_examples()
     @hypothesis.given(
         strategies.lists(
