--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -123,6 +123,30 @@
         asyncio.run(scenario())
 
 
+class OfferedUpgradeTest(testtools.TestCase):
+    """A request that offers another protocol, which is not taken."""
+
+    def test_body_of_an_offered_upgrade(self) -> None:
+        """Guards against a body that is taken for further requests."""
+        quoted = ECHO + b'Content-Length: 0\r\n\r\n'
+        head = (
+            ECHO
+            + b'Connection: upgrade\r\nUpgrade: other\r\n'
+            + b'Content-Length: %d\r\n\r\n' % len(quoted)
+        )
+
+        async def scenario() -> None:
+            caller = callerconnection.CallerConnection(
+                connections.Connections()
+            )
+            await caller.send(head + quoted)
+            await caller.wait_received(1)
+            self.assertEqual(answer_all([(b'', quoted)]), caller.received)
+            await caller.close()
+
+        asyncio.run(scenario())
+
+
 def frame_chunks(body: bytes, size: int) -> bytes:
     """Return a body in chunks of a size, with an extension and a trailer."""
     parts = [body[at : at + size] for at in range(0, len(body), size)]
