Refuse in one way on a connection

Found on reading the change again: four places counted a refusal and wrote an answer of their own beside the one for a violation; a head that waited for its turn was begun, and refused, by a copy of the loop that takes what is held; two places noted with different conditions that a connection is idle.

Change: a `Violation` may say when to return, and every refusal of a connection is one; the waiting head is taken by the common loop; one function notes an idle connection. Behaviour is as before.

--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -32,8 +32,9 @@
 # A request with more headers takes several times as much as others, and waits
 # for a turn of its own.
 MANY_HEADERS = 64
-# When the caller of a long head that finds no room should return.
-LONG_HEAD_RETRY_AFTER_S = 2
+# When a caller should return whose long head finds no room, or who found all
+# connections with requests.
+RETRY_AFTER_S = 2
 # Where a scope's extensions have the ``Connection``.
 CONNECTION_KEY = 'apricotlanding.connection'
 # Most bytes that a connection holds beside a request, or of an incomplete head
@@ -57,8 +58,6 @@
 # How long a connection that was closed waits for its caller to read the rest.
 # At listeners for operators and other systems, also how long an answer does.
 UNREAD_S = 10.0
-# When the caller should return that found all connections with requests.
-SURPLUS_RETRY_AFTER_S = 2
 
 
 @ty.final
@@ -262,23 +261,27 @@
                 self._end_message()
                 return True
             return False
+        if self._long_head is not None and not self._is_waiting:
+            head, self._long_head = self._long_head, None
+            self._begin_request(head)
+            return True
         if self._is_busy() or not framer.held:
             return False
         if self._has_to_wait():
             self._wait_for_turn()
             return False
-        head = framer.take_head()
-        self._needs_more = head is None
-        if head is None:
+        found = framer.take_head()
+        self._needs_more = found is None
+        if found is None:
             # Blank lines are no part of a head.
             if framer.held:
                 self._await_head()
                 self._claim_long_head()
             return False
-        if framing.count_headers(head) > MANY_HEADERS:
-            self._await_long_request(head)
+        if framing.count_headers(found) > MANY_HEADERS:
+            self._await_long_request(found)
             return False
-        self._begin_request(head)
+        self._begin_request(found)
         return True
 
     def _is_answering(self) -> bool:
@@ -321,15 +324,7 @@
         self._shared.long_requests.wait(self._begin_long_request, self.loop)
 
     def _begin_long_request(self) -> None:
-        head, self._long_head = self._long_head, None
         self._is_waiting = False
-        if head is None or self.transport.is_closing():
-            return
-        try:
-            self._begin_request(head)
-        except framing.Violation as violation:
-            self._refuse(violation)
-            return
         self._advance()
 
     def _await_sparse_read(self) -> None:
@@ -366,9 +361,12 @@
             )
 
     def _end_late_head(self) -> None:
-        self._shared.on_refusal(refusals.Refusal.HEAD_TIME)
-        self._answer_and_close(
-            408, 'The request line and headers came too late.'
+        self._refuse(
+            framing.Violation(
+                refusals.Refusal.HEAD_TIME,
+                'The request line and headers came too late.',
+                status=408,
+            )
         )
 
     def _claim_long_head(self) -> None:
@@ -378,12 +376,12 @@
         if self._shared.claim_head(held - self._claimed):
             self._claimed = held
             return
-        self._shared.on_refusal(refusals.Refusal.LONG_HEADS)
-        self._answer_and_close(
-            503,
+        raise framing.Violation(
+            refusals.Refusal.LONG_HEADS,
             'Too many long heads arrive at a time; send fewer headers, or'
             ' return later.',
-            f'retry-after: {LONG_HEAD_RETRY_AFTER_S}\r\n',
+            status=503,
+            retry_after_s=RETRY_AFTER_S,
         )
 
     def _forget_head(self) -> None:
@@ -397,8 +395,12 @@
         self._forget_head()
         self._unset_keepalive_if_required()
         if self._is_surplus:
-            self._refuse_surplus()
-            return
+            raise framing.Violation(
+                refusals.Refusal.CONNECTIONS,
+                'All connections of this host have requests; return later.',
+                status=503,
+                retry_after_s=RETRY_AFTER_S,
+            )
         self._open.begin_request(self)
         self._has_new_head = False
         self.parser = httptools.HttpRequestParser(self)
@@ -430,14 +432,6 @@
             # The body is read once the application asks for it.
             self.flow.pause_reading()
 
-    def _refuse_surplus(self) -> None:
-        self._shared.on_refusal(refusals.Refusal.CONNECTIONS)
-        self._answer_and_close(
-            503,
-            'All connections of this host have requests; return later.',
-            f'retry-after: {SURPLUS_RETRY_AFTER_S}\r\n',
-        )
-
     def on_message_begin(self) -> None:
         super().on_message_begin()
         if self._connection is None:
@@ -448,6 +442,7 @@
     def on_headers_complete(self) -> None:
         # The application is called once the parser has accepted the head.
         self._has_new_head = True
+        # The parser does not know it once the message is complete.
         self._is_persistent = self.parser.should_keep_alive()
 
     def on_message_complete(self) -> None:
@@ -468,19 +463,21 @@
         self.cycle.message_event.set()
         if self._is_lingering:
             self.close()
-        elif self.cycle.response_complete:
-            self._open.end_request(self, self.loop.time())
+        self._note_idle()
 
     def on_response_complete(self) -> None:
         if self.cycle.response_complete:
             self._forget_request()
         super().on_response_complete()
-        if not self._is_busy() and not self.transport.is_closing():
-            self._open.end_request(self, self.loop.time())
+        self._note_idle()
         if self._framer.held:
             # Others that were sent ahead.
             self.loop.call_soon(self._advance)
 
+    def _note_idle(self) -> None:
+        if not self._is_busy() and not self.transport.is_closing():
+            self._open.end_request(self, self.loop.time())
+
     def _forget_request(self) -> None:
         # The connection may be idle for long: it keeps neither the headers
         # nor what has arrived of a body that nobody reads any more.
@@ -502,25 +499,13 @@
         self.loop.call_later(LINGER_S, self.close)
 
     def _refuse(self, violation: framing.Violation) -> None:
-        self._shared.on_refusal(violation.refusal)
-        if self.cycle is not None and self.cycle.more_body:
-            if self.cycle.response_started:
-                # An answer that is not complete must not look like that.
-                self.close()
-                return
-        self._answer_and_close(violation.status, violation.text)
-
-    def _answer_and_close(
-        self, status: int, text: str, header: str = ''
-    ) -> None:
         if self.transport.is_closing():
             return
-        line = httptools_impl.STATUS_LINE[status].decode()
-        head = (
-            f'{line}content-type: text/plain; charset=utf-8\r\n'
-            f'content-length: {len(text)}\r\n{header}connection: close\r\n\r\n'
-        )
-        self.transport.write((head + text).encode())
+        self._shared.on_refusal(violation.refusal)
+        cycle = self.cycle
+        if cycle is None or not cycle.more_body or not cycle.response_started:
+            self.transport.write(_write_refusal(violation))
+        # Else an answer that is not complete must not look like that.
         self.close()
 
     def pause_writing(self) -> None:
@@ -563,6 +548,18 @@
             self._start_abort_timer()
 
 
+def _write_refusal(violation: framing.Violation) -> bytes:
+    lines = [
+        httptools_impl.STATUS_LINE[violation.status].decode().rstrip(),
+        'content-type: text/plain; charset=utf-8',
+        f'content-length: {len(violation.text)}',
+        'connection: close',
+    ]
+    if violation.retry_after_s is not None:
+        lines.append(f'retry-after: {violation.retry_after_s}')
+    return '\r\n'.join([*lines, '', violation.text]).encode()
+
+
 _Shared = connectionlimits.SharedLimits[_BoundedProtocol]
 
 
--- a/packages/apricotlanding/src/apricotlanding/framing.py
+++ b/packages/apricotlanding/src/apricotlanding/framing.py
@@ -54,13 +54,18 @@
     """The bytes are no request, or exceed a limit."""
 
     def __init__(
-        self, refusal: refusals.Refusal, text: str, status: int = 400
+        self,
+        refusal: refusals.Refusal,
+        text: str,
+        status: int = 400,
+        retry_after_s: int | None = None,
     ) -> None:
         """Keep what is answered: a status, and a text with the remedy."""
         super().__init__(text)
         self.refusal = refusal
         self.text = text
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 class _State(enum.Enum):
