--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/arrivingbodies.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/arrivingbodies.py
@@ -8,7 +8,7 @@
 import typing as ty
 
 from apricotlanding import asgi
-from apricotlanding import connections
+from apricotlanding import boundedprotocol
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.requests import heldanswers
 
@@ -65,7 +65,9 @@
             return max(self._stated, self._arrived)
         if self._is_complete:
             return self._arrived
-        return min(self._limit, self._arrived + connections.MAX_UNREAD_BYTES)
+        return min(
+            self._limit, self._arrived + boundedprotocol.MAX_UNREAD_BYTES
+        )
 
     def _update_count(self) -> None:
         before, self.counted = (
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldsends.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/heldsends.py
@@ -12,8 +12,8 @@
 import anyio
 
 from apricotlanding import asgi
+from apricotlanding import boundedprotocol
 from apricotlanding import clocks
-from apricotlanding import connections
 from apricotlanding import taskgroups
 from apricotlandingd.gateway.requests import heldanswers
 
@@ -62,7 +62,7 @@
         self._answers = answers
         self._send = send
         self._connection: Connection = scope['extensions'][
-            connections.CONNECTION_KEY
+            boundedprotocol.CONNECTION_KEY
         ]
         self._connection.limit_buffers()
         self._held = answers.open(heldanswers.Kind.ONCE)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 import testtools
 
+from apricotlanding import boundedprotocol
 from apricotlanding import connectionlimits
 from apricotlanding import connections
 from apricotlanding import framing
@@ -116,7 +117,7 @@
             )
             self.assertLessEqual(
                 caller.taken - answered * len(filler),
-                connections.PARSE_BYTES + len(filler),
+                boundedprotocol.PARSE_BYTES + len(filler),
             )
             await caller.close()
 
--- a/tests/test_held_answers.py
+++ b/tests/test_held_answers.py
@@ -9,7 +9,7 @@
 import testtools
 
 from apricotlanding import asgi
-from apricotlanding import connections
+from apricotlanding import boundedprotocol
 from apricotlandingd.gateway.requests import heldanswers
 from apricotlandingd.gateway.requests import heldsends
 import fuzzing
@@ -216,7 +216,7 @@
         connection = FakeConnection()
         self.connections.append(connection)
         scope: asgi.Scope = {
-            'extensions': {connections.CONNECTION_KEY: connection}
+            'extensions': {boundedprotocol.CONNECTION_KEY: connection}
         }
         held = heldsends.HeldSend(self.answers, scope, self.send)
         scope[heldanswers.SCOPE_KEY].kind = kind
