Read the length of a body in one place

framing.find_length was written beside asgi.read_length and asgi.is_chunked, which the two admissions called in turn for the same question. They call it now, and the older pair is gone. The server refuses heads whose length it does not find before an application sees them, so behaviour is as before.

Checks, types and the tests of bodies, uploads and settings pass.

--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -31,10 +31,8 @@
     'Send',
     'Server',
     'bind_address',
-    'is_chunked',
     'read_body',
     'read_headers',
-    'read_length',
     'send_json',
     'send_problem',
 ]
@@ -46,8 +44,6 @@
 App = collections.abc.Callable[
     [Scope, Receive, Send], collections.abc.Awaitable[None]
 ]
-# Digits of a length; a longer one is no length.
-MAX_LENGTH_DIGITS = 15
 # Added to what callers are granted: what they send last is still on its way.
 TIMEOUT_MARGIN_S = 1.0
 # Connections that may wait to be accepted.
@@ -90,21 +86,6 @@
     }
 
 
-def read_length(headers: HeaderList) -> int:
-    """Return the stated length of a body; 0 if there is none."""
-    for name, value in headers:
-        if name != b'content-length':
-            continue
-        if value.isdigit() and len(value) <= MAX_LENGTH_DIGITS:
-            return int(value)
-    return 0
-
-
-def is_chunked(headers: HeaderList) -> bool:
-    """Tell whether a body follows whose length is not stated."""
-    return any(name == b'transfer-encoding' for name, _ in headers)
-
-
 async def start_response(
     send: Send, status: int, headers: HeaderList | None = None
 ) -> None:
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/arrivingbodies.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/arrivingbodies.py
@@ -9,6 +9,7 @@
 
 from apricotlanding import asgi
 from apricotlanding import boundedprotocol
+from apricotlanding import framing
 from apricotlandingd.gateway import dialect
 from apricotlandingd.gateway.requests import heldanswers
 
@@ -35,9 +36,7 @@
         self._answers = answers
         self._held = held
         self._limit = limit
-        self._stated: int | None = None
-        if not asgi.is_chunked(headers):
-            self._stated = asgi.read_length(headers)
+        self._stated = framing.find_length(headers)
         self._arrived = 0
         self._is_complete = False
         # Bytes that have to be admitted before it is read.
--- a/packages/apricotlandingd/src/apricotlandingd/requests/entry.py
+++ b/packages/apricotlandingd/src/apricotlandingd/requests/entry.py
@@ -18,6 +18,7 @@
 from apricotlanding import bundle
 from apricotlanding import clocks
 from apricotlanding import errors
+from apricotlanding import framing
 from apricotlanding import tracing
 from apricotlandingd.requests import admission
 from apricotlandingd.requests import answers
@@ -140,9 +141,9 @@
         self, scope: asgi.Scope, receive: asgi.Receive, head: admission.Head
     ) -> bytes | errors.Problem:
         limit = head.body_limit
-        size = limit
-        if not asgi.is_chunked(scope['headers']):
-            size = asgi.read_length(scope['headers'])
+        size = framing.find_length(scope['headers'])
+        if size is None:
+            size = limit
         if size > limit:
             return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
         if not self._bodies.reserve(size):
