--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/admission.py
@@ -202,8 +202,8 @@
         body = arrivingbodies.ArrivingBody(answers, self.held, headers, limit)
         if body.is_too_large():
             return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
-        head_size = heldanswers.weigh_head(headers)
-        size = heldanswers.OPEN_BYTES + head_size + body.counted
+        open_size = heldanswers.OPEN_BYTES + heldanswers.weigh_head(headers)
+        size = open_size + body.counted
         if not answers.may_admit(size, clocks.read_monotonic()):
             return self._make_full_problem(size)
         self.held.grow(size)
@@ -215,7 +215,7 @@
         except asgi.BodyTooLarge:
             return errors.make_problem(errors.Kind.BODY_TOO_LARGE, limit=limit)
         except arrivingbodies.HostFull:
-            size = heldanswers.OPEN_BYTES + head_size + body.counted
+            size = open_size + body.counted
             answers.note_refusal(size, clocks.read_monotonic())
             self.held.shrink(self.held.bytes)
             return self._make_full_problem(size)
