Serve the sockets for peers, and count refusals, in one place each

Three places opened a bound socket and served it few at a time; the two of the gateway call acceptance.serve_socket now. Behaviour is as before.

--- a/packages/apricotlanding/src/apricotlanding/acceptance.py
+++ b/packages/apricotlanding/src/apricotlanding/acceptance.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import functools
+import socket
 import typing as ty
 
 import anyio
@@ -15,7 +16,13 @@
 
 from apricotlanding import supervisor
 
-__all__ = ['MAX_STRANGERS', 'Handler', 'Listener', 'PeerListener']
+__all__ = [
+    'MAX_STRANGERS',
+    'Handler',
+    'Listener',
+    'PeerListener',
+    'serve_socket',
+]
 
 # Most connections whose peer is not known.
 MAX_STRANGERS = 64
@@ -73,6 +80,14 @@
             slot.release()
 
 
+async def serve_socket(listening: socket.socket, handler: Handler) -> None:
+    """Serve the connections of a bound socket until cancelled."""
+    listening.setblocking(False)
+    listener = await anyio.abc.SocketListener.from_socket(listening)
+    async with listener:
+        await PeerListener(listener).serve(handler)
+
+
 @ty.final
 class _Slot:
     # A slot that is released once.
--- a/packages/apricotlanding/src/apricotlanding/asgi.py
+++ b/packages/apricotlanding/src/apricotlanding/asgi.py
@@ -18,14 +18,15 @@
 import uvicorn
 
 from apricotlanding import addresses
+from apricotlanding import connectionlimits
 from apricotlanding import connections
 from apricotlanding import errors
-from apricotlanding import refusals
 
 __all__ = [
     'App',
     'BodyTooLarge',
     'Disconnected',
+    'Limits',
     'Receive',
     'Scope',
     'Send',
@@ -158,6 +159,22 @@
         yield
 
 
+class Limits(ty.Protocol):
+    """Limits for callers that a configuration sets."""
+
+    @property
+    def idle_s(self) -> float:
+        """Return how long a connection may have no request."""
+
+    @property
+    def head_s(self) -> float:
+        """Return how long a head may take to arrive."""
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Return the most bytes of a body."""
+
+
 def bind_address(address: addresses.Address) -> socket.socket:
     """Return a listening socket; raises OSError if it cannot be bound."""
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
@@ -176,18 +193,20 @@
         *listen_addresses: addresses.Address,
         internal: collections.abc.Sequence[addresses.Address] = (),
         descriptors: int | None = None,
+        on_refusal: connectionlimits.OnRefusal = connectionlimits.ignore,
     ) -> None:
         """Bind the addresses; raises OSError if one cannot be bound.
 
         Those that are ``internal`` are for operators and other systems; they
         have few connections. ``descriptors`` are the most that the process
-        may open, if they are fewer than the system's limit.
+        may open, if they are fewer than the system's limit. ``on_refusal``
+        is called with what connections are refused for.
         """
         self._sockets = [
             bind_address(address) for address in (*listen_addresses, *internal)
         ]
         self._connections = connections.Connections(
-            descriptors, {address.port for address in internal}
+            descriptors, {address.port for address in internal}, on_refusal
         )
         self._config = config = uvicorn.Config(
             app,
@@ -218,16 +237,18 @@
         await self._server.serve(sockets=self._sockets)
         self._closed.set()
 
-    def set_limits(
-        self, idle_s: float, head_s: float, body_bytes: int
-    ) -> None:
-        """Set how long callers may stay idle, and take to send a head.
+    def set_limits(self, limits: Limits) -> None:
+        """Set what callers may do; the idle time holds for new connections.
 
-        The first one holds for new connections. ``body_bytes`` are the most
-        of a body; one that comes in chunks may have as many without content.
+        A body that comes in chunks may have as many bytes without content as
+        a body may have in all.
         """
-        self._config.timeout_keep_alive = math.ceil(idle_s + TIMEOUT_MARGIN_S)
-        self._connections.set_limits(head_s + TIMEOUT_MARGIN_S, body_bytes)
+        self._config.timeout_keep_alive = math.ceil(
+            limits.idle_s + TIMEOUT_MARGIN_S
+        )
+        self._connections.set_limits(
+            limits.head_s + TIMEOUT_MARGIN_S, limits.max_body_bytes
+        )
 
     def stop(self) -> None:
         """Close the listener and idle connections; others are completed."""
@@ -244,12 +265,6 @@
         """Return the number of open connections, including idle ones."""
         return len(self._server.server_state.connections)
 
-    def observe(
-        self, on_refusal: collections.abc.Callable[[refusals.Refusal], None]
-    ) -> None:
-        """Call a function with what connections are refused for."""
-        self._connections.observe(on_refusal)
-
     def count_unsent_bytes(self) -> int:
         """Return the bytes that are not yet written to the sockets."""
         return sum(
--- a/packages/apricotlanding/src/apricotlanding/connectionlimits.py
+++ b/packages/apricotlanding/src/apricotlanding/connectionlimits.py
@@ -9,9 +9,11 @@
 from apricotlanding import refusals
 from apricotlanding import turns
 
-__all__ = ['SharedLimits', 'count_descriptors']
+__all__ = ['OnRefusal', 'SharedLimits', 'count_descriptors', 'ignore']
 
 T = ty.TypeVar('T')
+# Called with what is refused.
+OnRefusal = collections.abc.Callable[[refusals.Refusal], None]
 
 # Most bytes of incomplete heads of all connections together, where a head is
 # longer than the parser gets at once.
@@ -32,6 +34,10 @@
 MAX_INTERNAL_CONNECTIONS = 64
 
 
+def ignore(refusal: refusals.Refusal) -> None:
+    """Count nothing."""
+
+
 def count_descriptors(stated: int | None) -> int:
     """Return how many descriptors this process may open.
 
@@ -49,7 +55,10 @@
     """Limits of a server, and what its connections take of them."""
 
     def __init__(
-        self, descriptors: int | None, internal_ports: collections.abc.Set[int]
+        self,
+        descriptors: int | None,
+        internal_ports: collections.abc.Set[int],
+        on_refusal: OnRefusal,
     ) -> None:
         """Start without connections; see ``connections.Connections``."""
         self.head_timeout_s = HEAD_TIMEOUT_S
@@ -60,10 +69,7 @@
         self.requests = turns.Turns(REQUESTS_PER_PASS)
         self.long_requests = turns.Turns(LONG_REQUESTS_PER_PASS)
         self.sparse_reads = turns.Turns(SPARSE_READS_PER_PASS)
-        # Called with what is refused.
-        self.on_refusal: collections.abc.Callable[[refusals.Refusal], None] = (
-            lambda _refusal: None
-        )
+        self.on_refusal = on_refusal
         # Bytes of the long heads that are incomplete.
         self._head_bytes = 0
         self._callers = openconnections.OpenConnections[T](
--- a/packages/apricotlanding/src/apricotlanding/connections.py
+++ b/packages/apricotlanding/src/apricotlanding/connections.py
@@ -5,7 +5,7 @@
 import typing as ty
 
 from apricotlanding import boundedprotocol
-from apricotlanding import refusals
+from apricotlanding import connectionlimits
 
 __all__ = ['Connections']
 
@@ -52,15 +52,19 @@
         self,
         descriptors: int | None = None,
         internal_ports: collections.abc.Set[int] = frozenset(),
+        on_refusal: connectionlimits.OnRefusal = connectionlimits.ignore,
     ) -> None:
         """Start without connections.
 
         ``descriptors`` are those that the process may open; by default as
         many as the system lets it. ``internal_ports`` are those of listeners
         for operators and other systems, which have few connections.
+        ``on_refusal`` is called with what connections are refused for.
         """
         self._buffer = memoryview(bytearray(boundedprotocol.READ_BYTES))
-        self._shared = boundedprotocol.Limits(descriptors, internal_ports)
+        self._shared = boundedprotocol.Limits(
+            descriptors, internal_ports, on_refusal
+        )
 
     def make_protocol(self, **options: ty.Any) -> asyncio.BufferedProtocol:
         """Return what reads a new connection."""
@@ -74,9 +78,3 @@
         """
         self._shared.head_timeout_s = head_timeout_s
         self._shared.framing_bytes = framing_bytes
-
-    def observe(
-        self, on_refusal: collections.abc.Callable[[refusals.Refusal], None]
-    ) -> None:
-        """Call a function with what is refused."""
-        self._shared.on_refusal = on_refusal
--- a/packages/apricotlandingd/src/apricotlandingd/daemon.py
+++ b/packages/apricotlandingd/src/apricotlandingd/daemon.py
@@ -38,6 +38,7 @@
 from apricotlanding import metrics
 from apricotlanding import platformlog
 from apricotlanding import quarantine
+from apricotlanding import refusals
 from apricotlanding import shutdown
 from apricotlanding import supervisor
 from apricotlanding import tracing
@@ -102,16 +103,17 @@
         self._build_shared_state()
         self._build_requests()
         self._connect_components()
-        self._callers = asgi.Server(self.entry, config.callers)
+        self._callers = asgi.Server(
+            self.entry, config.callers, on_refusal=self._count_refusal
+        )
         self._operators = asgi.Server(
-            self.operators, internal=(config.operators_listen,)
+            self.operators,
+            internal=(config.operators_listen,),
+            on_refusal=self._count_refusal,
         )
-        for server in (self._callers, self._operators):
-            server.observe(
-                lambda refusal: self.metrics.count(
-                    f'connection_refused.{refusal.value}'
-                )
-            )
+
+    def _count_refusal(self, refusal: refusals.Refusal) -> None:
+        self.metrics.count(f'connection_refused.{refusal.value}')
 
     def _build_shared_state(self) -> None:
         config = self.settings
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/gateway.py
@@ -36,7 +36,6 @@
 import anyio.abc
 import eliot
 
-from apricotlanding import acceptance
 from apricotlanding import addresses
 from apricotlanding import asgi
 from apricotlanding import clocks
@@ -128,7 +127,7 @@
         self._is_stopping = False
         self._stop_requested = anyio.Event()
         self._pumped_at = 0.0
-        self._peer_socket = asgi.bind_address(config.peers)
+        self._socket = asgi.bind_address(config.peers)
         self.incarnation = ids.make_incarnation(
             config.host, str(config.peers), clocks.read_monotonic()
         )
@@ -391,11 +390,7 @@
             config.callers,
             internal=(config.readiness, config.metrics),
             descriptors=config.descriptors,
-        )
-        self._server.observe(
-            lambda refusal: self._telemetry.count(
-                'connection_refusals_total', reason=refusal.value
-            )
+            on_refusal=self._listener.count_refusal,
         )
         self._telemetry.gauges = gauges.make_gauges(
             self._listener,
@@ -416,21 +411,14 @@
 
     async def run(self) -> None:
         """Run until a graceful shutdown has completed."""
-        self._peer_socket.setblocking(False)
-        peers = await anyio.abc.SocketListener.from_socket(self._peer_socket)
-        async with peers, supervisor.Supervisor('gateway') as tree:
+        async with supervisor.Supervisor('gateway') as tree:
             tree.start('callers', self._server.serve)
             for reader, topic in zip(
                 self._readers, records.TOPICS, strict=True
             ):
                 tree.start(topic, reader.run)
             tree.start('mesh', self._mesh.run)
-            tree.start(
-                'records',
-                lambda: acceptance.PeerListener(peers).serve(
-                    lambda stream, _on_known: self._exchange.serve(stream)
-                ),
-            )
+            tree.start('records', lambda: self._exchange.run(self._socket))
             tree.start('catch-up', self._catch_up.run)
             tree.start(
                 'join',
@@ -509,10 +497,7 @@
 
     def _apply_catalogue(self, found: catalogue.Catalogue) -> None:
         self._catalogue = found
-        limits = found.limits
-        self._server.set_limits(
-            limits.idle_s, limits.head_s, limits.max_body_bytes
-        )
+        self._server.set_limits(found.limits)
 
     # States of hosts.
 
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/process/relaying.py
@@ -3,8 +3,6 @@
 import random
 import typing as ty
 
-import anyio
-import anyio.abc
 
 from apricotlanding import acceptance
 from apricotlanding import asgi
@@ -92,10 +90,7 @@
 
     async def serve(self) -> None:
         """Make calls for other hosts until cancelled."""
-        self._socket.setblocking(False)
-        listener = await anyio.abc.SocketListener.from_socket(self._socket)
-        async with listener:
-            await acceptance.PeerListener(listener).serve(self.server.serve)
+        await acceptance.serve_socket(self._socket, self.server.serve)
 
     def retain_only(self, entries: list[dialect.RunnerEntry]) -> None:
         """Forget the links to all other runners."""
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/replication/recordexchange.py
@@ -10,12 +10,14 @@
 """
 
 import collections.abc
+import socket
 import typing as ty
 
 import anyio
 import anyio.abc
 import eliot
 
+from apricotlanding import acceptance
 from apricotlanding import addresses
 from apricotlanding import clocks
 from apricotlanding import codec
@@ -51,6 +53,13 @@
             [str, str, float], None
         ] = lambda peer, detail, now: None
 
+    async def run(self, listening: socket.socket) -> None:
+        """Answer the queries of all peers until cancelled."""
+        # A peer has no proof to give: each remains a stranger.
+        await acceptance.serve_socket(
+            listening, lambda stream, _on_known: self.serve(stream)
+        )
+
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Answer one peer's query."""
         link = frames.FrameStream(stream)
--- a/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
+++ b/packages/apricotlandingd/src/apricotlandingd/gateway/requests/listener.py
@@ -12,6 +12,7 @@
 
 from apricotlanding import addresses
 from apricotlanding import asgi
+from apricotlanding import refusals
 from apricotlandingd.gateway.explanations import page
 from apricotlandingd.gateway.process import telemetry
 from apricotlandingd.gateway.requests import exchange
@@ -83,6 +84,12 @@
         finally:
             self._open.remove(current)
 
+    def count_refusal(self, refusal: refusals.Refusal) -> None:
+        """Count what a connection was refused for."""
+        self._telemetry.count(
+            'connection_refusals_total', reason=refusal.value
+        )
+
     @property
     def held_answers(self) -> heldanswers.HeldAnswers:
         """Return what is held for all callers."""
