--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -1,8 +1,5 @@
 """Connections that send without end, at a daemon with the native API."""
 
-import json
-import socket
-
 import anyio
 import pytest
 
@@ -55,25 +52,14 @@
 
     def call(self) -> bytes:
         """Return the answer to an ordinary request."""
-        body = json.dumps(
-            {'prompt': systems.make_prompt(5), 'max_tokens': 3}
-        ).encode()
-        lines = (
-            'POST /v1/routes/rebuild HTTP/1.1',
-            'Host: entry',
-            f'Authorization: Bearer {systems.FESTIN}',
-            'Content-Type: application/json',
-            f'Idempotency-Key: {callers.make_key()}',
-            f'Content-Length: {len(body)}',
-            'Connection: close',
+        reply = callers.post_request(
+            self.system.daemons['entry-1'].callers,
+            'rebuild',
+            systems.FESTIN,
+            {'prompt': systems.make_prompt(5), 'max_tokens': 3},
+            callers.make_key(),
         )
-        place = self.system.daemons['entry-1']
-        host, _, port = place.callers.rpartition(':')
-        with socket.create_connection((host, int(port))) as caller:
-            caller.settimeout(30.0)
-            head = '\r\n'.join(lines) + '\r\n\r\n'
-            caller.sendall(head.encode() + body)
-            return systems.read_all(caller)
+        return reply.body
 
     def test_trailers(self) -> None:
         """Guards against trailers that are kept."""
