--- a/review/8/case.py
+++ b/review/7/case.py
@@ -25,7 +25,7 @@
 DRAINING_AT_S = 5.6
 EXIT_AT_S = DRAINING_AT_S + 8.0
 HOSTS = 2
-CALLERS = 12
+CALLERS = 24
 
 
 class Play:
@@ -130,7 +130,7 @@
             text = 'none' if answer is None else str(answer.status)
             self.answers[text] += 1
             self.note(f'answered {attempt} {text}')
-            await asyncio.sleep(0.03)
+            await asyncio.sleep(0.02)
         caller.close()
 
 
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -96,6 +96,8 @@
     def __init__(self) -> None:
         """Start empty."""
         self.topics: dict[str, Topic] = {}
+        # Seconds that each answer takes.
+        self.delay_s = 0.0
         self.server: asyncio.Server
 
     def put(self, name: str, key: str, value: object) -> None:
@@ -103,6 +105,14 @@
         data = b'' if value is None else json.dumps(value).encode()
         self._append(self._find(name), [(key.encode(), data)])
 
+    def list_values(self, name: str, key: str) -> list[ty.Any]:
+        """Return all values that a key had, the oldest first."""
+        return [
+            json.loads(value)
+            for known, value in self._find(name).records
+            if known == key.encode() and value
+        ]
+
     async def start(self, host: str, port: int) -> None:
         """Listen."""
         self.server = await asyncio.start_server(self._serve, host, port)
@@ -126,6 +136,7 @@
                 body = await read_body(reader, headers)
                 path, _, query = first.split(' ')[1].partition('?')
                 fields = dict(urllib.parse.parse_qsl(query))
+                await asyncio.sleep(self.delay_s)
                 status, data = await self._answer(path, fields, body)
                 writer.write(
                     f'HTTP/1.1 {status} Done\r\n'
@@ -228,12 +239,22 @@
 class Runner:
     """A runner at one address, with an id of its own."""
 
-    def __init__(self, name: str, work: Work = serve_plain) -> None:
+    def __init__(
+        self, name: str, work: Work = serve_plain, version: str = 'v1'
+    ) -> None:
         """Serve all requests by ``work``, once their bodies have arrived."""
+        self.version = version
         self.name = name
         self.work = work
         self.address = ''
         self.server: asyncio.Server
+        self._open: set[asyncio.StreamWriter] = set()
+
+    def stop(self) -> None:
+        """End, with all connections."""
+        self.server.close()
+        for writer in list(self._open):
+            writer.transport.abort()
 
     async def start(self, host: str) -> None:
         """Listen at a free port."""
@@ -247,7 +268,7 @@
             'service': 'pool',
             'address': self.address,
             'zone': 'zone-a',
-            'version': 'v1',
+            'version': self.version,
             'slots': 4,
             'state': 'ready',
             'coldLeftMs': 0,
@@ -270,6 +291,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._open.add(writer)
         with contextlib.suppress(*ENDED, asyncio.CancelledError):
             while True:
                 first, headers = await read_head(reader)
@@ -290,6 +312,7 @@
                     await writer.drain()
                     continue
                 await self.work(self, request, writer)
+        self._open.discard(writer)
         writer.close()
 
 
@@ -372,6 +395,9 @@
     'recoveryS': 12,
     'passMs': 120,
     'retryAfterS': 10,
+    'exposureShare': 0.1,
+    'exposureSlack': 50,
+    'rollbackMs': 5000,
 }
 
 
@@ -395,8 +421,13 @@
         self.folder = folder
         self.process: subprocess.Popen[bytes] | None = None
 
-    def write_settings(self, store: str, seeds: list[str]) -> None:
-        """Write the settings file; JSON is YAML too."""
+    def write_settings(
+        self, store: str, seeds: list[str], contracts: tuple[str, ...]
+    ) -> None:
+        """Write the settings file; JSON is YAML too.
+
+        ``contracts`` are in force besides those of the small sites.
+        """
         settings = {
             'nodeName': self.name,
             'role': 'gateway',
@@ -429,6 +460,7 @@
             'contracts': [
                 *('base', 'drain', 'config', 'cost', 'retry', 'recover'),
                 *('engine', 'stream', 'tenants', 'quota', 'platform'),
+                *contracts,
             ],
             'bounds': BOUNDS,
             'platform': {
@@ -497,13 +529,20 @@
     """Store, runners and hosts; use it as an async context manager."""
 
     def __init__(
-        self, hosts: int, runners: list[Runner], config: dict[str, object]
+        self,
+        hosts: int,
+        runners: list[Runner],
+        config: dict[str, object],
+        contracts: tuple[str, ...] = (),
     ) -> None:
         """Prepare a system that is not started."""
+        self._contracts = contracts
         self._count = hosts
         self.runners = runners
         self.config = config
         self.store = Store()
+        # Names of runners that do not register at the start.
+        self.unregistered: set[str] = set()
         self.hosts: list[Host] = []
         self._folder = tempfile.TemporaryDirectory(prefix='review-')
 
@@ -519,6 +558,8 @@
         self.store.put('keyed.op', 'config', self.config)
         for runner in self.runners:
             await runner.start(f'{net}.2')
+            if runner.name in self.unregistered:
+                continue
             self.store.put('keyed.servers', runner.name, runner.make_entry())
         ports = {
             name: find_port(ips[0])
@@ -527,7 +568,9 @@
         seeds = [f'{ip}:{ports["control"]}' for ip in ips[:3]]
         for number, ip in enumerate(ips):
             host = Host(f'edge-{number}', ip, ports, folder)
-            host.write_settings(f'{net}.1:{store_port}', seeds)
+            host.write_settings(
+                f'{net}.1:{store_port}', seeds, self._contracts
+            )
             host.start()
             self.hosts.append(host)
         try:
